--- /dev/null
+++ b/knapweedlead/parameters/__init__.py
@@ -0,0 +1,19 @@
+"""Constraints on constructor parameters, declared beside each class."""
+
+from knapweedlead.parameters._constraints import (
+    Choice,
+    Constraint,
+    InstanceOf,
+    Interval,
+    check_parameters,
+    check_value,
+)
+
+__all__ = [
+    "Choice",
+    "Constraint",
+    "InstanceOf",
+    "Interval",
+    "check_parameters",
+    "check_value",
+]
--- /dev/null
+++ b/knapweedlead/registries/__init__.py
@@ -0,0 +1,5 @@
+"""Registries that decorators fill with interchangeable policies."""
+
+from knapweedlead.registries._registry import Registry
+
+__all__ = ["Registry"]
--- /dev/null
+++ b/knapweedlead/statecharts/__init__.py
@@ -0,0 +1,5 @@
+"""State charts kept in JSON files and interpreted at run time."""
+
+from knapweedlead.statecharts._statechart import Statechart
+
+__all__ = ["Statechart"]
