--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks with regression bounds."""
--- /dev/null
+++ b/knapweedlead/accounts/_keys.py
@@ -0,0 +1,45 @@
+"""Authentication of callers by key."""
+
+import hashlib
+
+import attrs
+
+from knapweedlead.configuration import Catalogue, ClientAccount
+from knapweedlead.requests import RefusalReason
+
+_SCHEME = "bearer "
+
+
+@attrs.frozen
+class KeyCheck:
+    """Result of authenticating a caller.
+
+    Parameters
+    ----------
+    account : ClientAccount or None
+        Account of the key; None where the caller is refused.
+    key_name : str
+        Name of the key resource.
+    reason : RefusalReason or None
+        Why the caller is refused.
+    """
+
+    account: ClientAccount | None
+    key_name: str = ""
+    reason: RefusalReason | None = None
+
+
+def authenticate(catalogue: Catalogue, authorization: str) -> KeyCheck:
+    """Find the account of an ``Authorization: Bearer KEY`` header."""
+    if not authorization:
+        return KeyCheck(None, reason=RefusalReason.MISSING_KEY)
+    if not authorization.lower().startswith(_SCHEME):
+        return KeyCheck(None, reason=RefusalReason.INVALID_KEY)
+    secret = authorization[len(_SCHEME) :].strip()
+    key = catalogue.keys_by_digest.get(hashlib.sha256(secret.encode()).hexdigest())
+    if key is None:
+        return KeyCheck(None, reason=RefusalReason.INVALID_KEY)
+    account = catalogue.client_accounts.get(key.client_account)
+    if account is None:
+        return KeyCheck(None, reason=RefusalReason.INVALID_KEY)
+    return KeyCheck(account, key.name)
--- /dev/null
+++ b/knapweedlead/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission at a guard: limits, queues, cold starts."""
--- /dev/null
+++ b/knapweedlead/calls/__init__.py
@@ -0,0 +1,23 @@
+"""Calls: the entry role towards callers, the guard role towards backend servers."""
+
+from knapweedlead.calls._entry import EntryRole
+from knapweedlead.calls._guard import GuardRole
+from knapweedlead.calls._headers import (
+    AUTHORIZATION,
+    DEADLINE,
+    IDEMPOTENCY_KEY,
+    PARENT,
+    TRACEPARENT,
+)
+from knapweedlead.calls._problem import problem_reply
+
+__all__ = [
+    "AUTHORIZATION",
+    "DEADLINE",
+    "EntryRole",
+    "GuardRole",
+    "IDEMPOTENCY_KEY",
+    "PARENT",
+    "TRACEPARENT",
+    "problem_reply",
+]
--- /dev/null
+++ b/knapweedlead/configuration/_resources.py
@@ -0,0 +1,239 @@
+"""Resource kinds that operators declare, with their constraints."""
+
+from typing import Any, ClassVar
+
+import attrs
+from result import Err, Ok, Result
+
+from knapweedlead.errors import ResourceError
+from knapweedlead.parameters import Constraint, InstanceOf, Interval
+
+MAX_NAME_LENGTH = 128
+
+LEAST_IMPORTANT = 9
+"""Highest priority number; 0 is the most important."""
+
+_TEXT = InstanceOf(str)
+_FLAG = InstanceOf(bool)
+
+
+@attrs.frozen
+class Resource:
+    """Base of the resource kinds.
+
+    Parameters
+    ----------
+    name : str
+        Unique within the kind.
+    """
+
+    name: str
+
+    constraints: ClassVar[dict[str, Constraint]] = {"name": _TEXT}
+
+
+@attrs.frozen
+class ClientAccount(Resource):
+    """A caller's account with its fleet-wide rate.
+
+    Parameters
+    ----------
+    rate_per_s : float
+        Requests a second, over all instances together.
+    burst : float
+        Requests above the rate in any window.
+    weight : float
+        Share under overload, relative to other accounts.
+    """
+
+    rate_per_s: float
+    burst: float
+    weight: float = 1.0
+
+    constraints: ClassVar[dict[str, Constraint]] = {
+        "name": _TEXT,
+        "rate_per_s": Interval(float, 0.0, 1e6, "requests/s"),
+        "burst": Interval(float, 1.0, 1e6, "requests"),
+        "weight": Interval(float, 0.01, 1000.0),
+    }
+
+
+@attrs.frozen
+class Key(Resource):
+    """A caller's key; only its digest is kept.
+
+    Parameters
+    ----------
+    client_account : str
+        Account for which requests with the key run.
+    sha256 : str
+        Hexadecimal SHA-256 digest of the key.
+    is_withdrawn : bool
+        Whether the key has stopped working.
+    """
+
+    client_account: str
+    sha256: str
+    is_withdrawn: bool = False
+
+    constraints: ClassVar[dict[str, Constraint]] = {
+        "name": _TEXT,
+        "client_account": _TEXT,
+        "sha256": _TEXT,
+        "is_withdrawn": _FLAG,
+    }
+
+
+@attrs.frozen
+class Route(Resource):
+    """How requests under a path prefix are treated.
+
+    Parameters
+    ----------
+    path_prefix : str
+        Requests whose path starts with it take this route; the longest wins.
+    service : str
+        Service that runs the requests.
+    priority : int
+        0 is the most important and shed last.
+    is_idempotent : bool
+        Whether a request may run more than once.
+    is_open : bool
+        Whether requests need no key.
+    timeout_ms : int
+        Deadline in milliseconds for requests that bring none.
+    retry_credits : int
+        Retries allowed over the whole call tree of a request.
+    is_durable : bool
+        Whether once records are claimed in the platform's store.
+    """
+
+    path_prefix: str
+    service: str
+    priority: int
+    is_idempotent: bool
+    is_open: bool = False
+    timeout_ms: int = 5000
+    retry_credits: int = 2
+    is_durable: bool = False
+
+    constraints: ClassVar[dict[str, Constraint]] = {
+        "name": _TEXT,
+        "path_prefix": _TEXT,
+        "service": _TEXT,
+        "priority": Interval(int, 0, LEAST_IMPORTANT),
+        "is_idempotent": _FLAG,
+        "is_open": _FLAG,
+        "timeout_ms": Interval(int, 1, 600_000, "ms"),
+        "retry_credits": Interval(int, 0, 100, "retries"),
+        "is_durable": _FLAG,
+    }
+
+
+@attrs.frozen
+class Service(Resource):
+    """A named group of backend servers.
+
+    Parameters
+    ----------
+    cold_slots : int
+        Calls that a backend server in its cold start bears at once.
+    cold_start_s : float
+        Seconds that a cold start lasts.
+    """
+
+    cold_slots: int = 4
+    cold_start_s: float = 30.0
+
+    constraints: ClassVar[dict[str, Constraint]] = {
+        "name": _TEXT,
+        "cold_slots": Interval(int, 1, 100_000, "calls"),
+        "cold_start_s": Interval(float, 0.0, 3600.0, "s"),
+    }
+
+
+@attrs.frozen
+class DataCentre(Resource):
+    """A data centre and whether it takes work.
+
+    Parameters
+    ----------
+    region : str
+        Region of the data centre.
+    in_service : bool
+        Whether its backend servers take new work.
+    """
+
+    region: str = ""
+    in_service: bool = True
+
+    constraints: ClassVar[dict[str, Constraint]] = {
+        "name": _TEXT,
+        "region": _TEXT,
+        "in_service": _FLAG,
+    }
+
+
+@attrs.frozen
+class BackendServer(Resource):
+    """A statement that one backend server takes work or not.
+
+    Parameters
+    ----------
+    in_service : bool
+        Whether the backend server takes new work.
+    """
+
+    in_service: bool = True
+
+    constraints: ClassVar[dict[str, Constraint]] = {
+        "name": _TEXT,
+        "in_service": _FLAG,
+    }
+
+
+KINDS: dict[str, type[Resource]] = {
+    "client_accounts": ClientAccount,
+    "keys": Key,
+    "routes": Route,
+    "services": Service,
+    "data_centres": DataCentre,
+    "backend_servers": BackendServer,
+}
+"""Resource class by the kind's name in the operator API."""
+
+
+def check_resource(kind: str, document: Any) -> Result[Resource, ResourceError]:
+    """Build a resource from a decoded JSON document.
+
+    Returns
+    -------
+    Result
+        The resource, or an error naming the field, what was expected and found.
+    """
+    cls = KINDS.get(kind)
+    if cls is None:
+        return _refuse(kind, "", f"expected a kind of {', '.join(KINDS)}")
+    if not isinstance(document, dict):
+        return _refuse(kind, "", f"expected an object, found {document!r}")
+    known = {attribute.name: attribute for attribute in attrs.fields(cls)}
+    for field in document:
+        if field not in known:
+            return _refuse(kind, field, f"expected one of {', '.join(known)}")
+    for field, attribute in known.items():
+        if field not in document and attribute.default is attrs.NOTHING:
+            return _refuse(kind, field, "expected a value, found none")
+    for field, value in document.items():
+        constraint = cls.constraints[field]
+        if not constraint.accepts(value):
+            detail = f"expected {constraint.describe()}, found {value!r}"
+            return _refuse(kind, field, detail)
+    name = document["name"]
+    if not 0 < len(name) <= MAX_NAME_LENGTH or "/" in name:
+        return _refuse(kind, "name", "expected 1 to 128 characters without '/'")
+    return Ok(cls(**document))
+
+
+def _refuse(kind: str, field: str, detail: str) -> Err[ResourceError]:
+    where = f"field '{field}': {detail}" if field else detail
+    return Err(ResourceError("configuration.check", kind, where, field))
--- /dev/null
+++ b/knapweedlead/daemon/_composition.py
@@ -0,0 +1,78 @@
+"""Composition of a node from settings."""
+
+import random
+
+import attrs
+
+from knapweedlead.accounts import AccountsRole
+from knapweedlead.calls import EntryRole, GuardRole
+from knapweedlead.configuration import ConfigurationRole
+from knapweedlead.membership import MembershipRole
+from knapweedlead.node import Identity, Node, StoreCalls
+from knapweedlead.requests import OnceRole
+from knapweedlead.settings import DaemonSettings
+
+
+@attrs.frozen
+class Composition:
+    """A node and the roles that it composes."""
+
+    identity: Identity
+    node: Node
+    configuration: ConfigurationRole
+    membership: MembershipRole
+    accounts: AccountsRole
+    once: OnceRole
+    guard: GuardRole
+    entry: EntryRole
+
+
+def compose(
+    settings: DaemonSettings, incarnation: int, rng: random.Random
+) -> Composition:
+    """Build the node of a daemon.
+
+    Parameters
+    ----------
+    settings : DaemonSettings
+        Checked settings.
+    incarnation : int
+        Start identity; higher than that of any start before.
+    rng : random.Random
+        Source of all random choices of the node.
+    """
+    identity = Identity(
+        name=settings.name,
+        incarnation=incarnation,
+        link_address=settings.link_address,
+        caller_address=settings.caller_address,
+        region=settings.region,
+        data_centre=settings.data_centre,
+        service=settings.service,
+        instance=settings.instance,
+    )
+    backend_server = settings.backend_server
+    store_calls = StoreCalls()
+    configuration = ConfigurationRole(store_calls)
+    membership = MembershipRole(
+        identity,
+        backend_server.slots,
+        backend_server.cold_slots,
+        backend_server.connections,
+        store_calls,
+    )
+    accounts = AccountsRole()
+    once = OnceRole()
+    guard = GuardRole(identity, backend_server.slots, configuration, rng)
+    entry = EntryRole(configuration, membership, accounts, once, guard, rng)
+    roles = [configuration, membership, accounts, once, guard, entry]
+    return Composition(
+        identity=identity,
+        node=Node(roles),
+        configuration=configuration,
+        membership=membership,
+        accounts=accounts,
+        once=once,
+        guard=guard,
+        entry=entry,
+    )
--- /dev/null
+++ b/knapweedlead/daemon/_shell.py
@@ -0,0 +1,209 @@
+"""Shell: reports events to the node and carries out its effects."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Any
+
+from knapweedlead.calls import problem_reply
+from knapweedlead.daemon._composition import Composition
+from knapweedlead.messages import Message
+from knapweedlead.node import (
+    CallerGone,
+    CallReceived,
+    CancelRun,
+    CloseLink,
+    Count,
+    Effect,
+    Event,
+    LinkDown,
+    LinkUp,
+    LogEvent,
+    MessageReceived,
+    Observe,
+    OpenLink,
+    ReplyToCaller,
+    RunAnswered,
+    RunFailed,
+    RunOnBackendServer,
+    SendFailed,
+    SendMessage,
+    ShutdownRequested,
+    Started,
+    StoreAnswered,
+    StoreCall,
+    Tick,
+    WakeAt,
+)
+from knapweedlead.platform import HttpStore
+from knapweedlead.requests import RefusalReason
+from knapweedlead.settings import DaemonSettings
+from knapweedlead.telemetry import Metrics, get_logger
+from knapweedlead.transport import (
+    BackendServerClient,
+    CallerServer,
+    HttpRequest,
+    LinkTable,
+)
+
+TICK_SECONDS = 0.1
+
+
+class Shell:
+    """Runs one node on one event loop.
+
+    Parameters
+    ----------
+    settings : DaemonSettings
+        Checked settings.
+    composition : Composition
+        The node and its roles.
+    """
+
+    def __init__(self, settings: DaemonSettings, composition: Composition) -> None:
+        self.settings = settings
+        self.composition = composition
+        self.node = composition.node
+        self.metrics = Metrics()
+        self.log = get_logger(daemon=settings.name)
+        self.callers = CallerServer(
+            self._on_caller_request, self._on_caller_gone, self._on_bad_input
+        )
+        self.links = LinkTable(
+            composition.identity,
+            settings.fleet_secret,
+            self._on_message,
+            lambda peer, name, start: self.report(LinkUp(peer, name, start)),
+            lambda peer, is_refused: self.report(LinkDown(peer, is_refused)),
+            lambda peer, message: self.report(SendFailed(peer, message)),
+            self._on_link_error,
+        )
+        self.backend_server = BackendServerClient(
+            settings.backend_server.address,
+            settings.backend_server.connections,
+            lambda run, answer: self.report(
+                RunAnswered(run, answer.status, answer.headers, answer.body)
+            ),
+            lambda run, was_sent, detail: self.report(RunFailed(run, was_sent, detail)),
+        )
+        self.store = HttpStore(settings.store.address, settings.store.timeout_s)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._executor_by_effect: dict[type, Callable[[Any], None]] = {
+            SendMessage: self._send_message,
+            OpenLink: lambda effect: self.links.open(effect.peer),
+            CloseLink: lambda effect: self.links.close(effect.peer),
+            ReplyToCaller: self._reply,
+            RunOnBackendServer: self._run,
+            CancelRun: lambda effect: self.backend_server.cancel(effect.run),
+            StoreCall: self._call_store,
+            WakeAt: self._wake_at,
+            Count: self.metrics.count,
+            Observe: lambda effect: None,
+            LogEvent: self._log_event,
+        }
+
+    async def start(self) -> None:
+        """Open all listeners and start the node."""
+        await self.store.start()
+        await self.links.start(self.settings.link_address)
+        await self.callers.start(self.settings.caller_address)
+        self.report(Started())
+        self._spawn(self._tick())
+        self.log.info("started", caller_address=self.settings.caller_address)
+
+    async def stop(self) -> None:
+        """Close all listeners and connections."""
+        await self.callers.stop()
+        await self.links.stop()
+        self.backend_server.close()
+        for task in self._tasks:
+            task.cancel()
+        await self.store.stop()
+        self.log.info("stopped")
+
+    def request_shutdown(self) -> None:
+        """Tell the node to finish its work."""
+        self.report(ShutdownRequested())
+
+    def report(self, event: Event) -> None:
+        """Hand an event to the node and carry out the effects."""
+        for effect in self.node.handle(event, time.monotonic()):
+            self._executor_by_effect[type(effect)](effect)
+
+    def _spawn(self, coroutine: Any) -> None:
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _tick(self) -> None:
+        while True:
+            self.report(Tick())
+            await asyncio.sleep(TICK_SECONDS)
+
+    def _wake_at(self, effect: WakeAt) -> None:
+        delay = max(0.0, effect.time - time.monotonic())
+        asyncio.get_running_loop().call_later(delay, self.report, Tick())
+
+    def _on_caller_request(self, request: HttpRequest) -> None:
+        self.report(
+            CallReceived(
+                exchange=request.exchange,
+                method=request.method,
+                path=request.path,
+                headers=request.headers,
+                body=request.body,
+                peer=request.peer,
+            )
+        )
+
+    def _on_caller_gone(self, exchange: int) -> None:
+        self.report(CallerGone(exchange))
+
+    def _on_bad_input(self, reason: str) -> tuple[int, dict[str, str], bytes]:
+        self.metrics.count(Count("knapweedlead.refusals", (("reason", reason),)))
+        reply = problem_reply(0, RefusalReason(reason))
+        return reply.status, reply.headers, reply.body
+
+    def _on_message(self, peer: str, message: Message) -> None:
+        self.report(MessageReceived(peer, message))
+
+    def _on_link_error(self, error: Any) -> None:
+        self.metrics.count(Count("knapweedlead.link.errors"))
+        self.log.warning(
+            "link_error", step=error.step, peer=error.peer, detail=error.detail
+        )
+
+    def _send_message(self, effect: SendMessage) -> None:
+        own_address = self.settings.link_address
+        if effect.peer != own_address:
+            self.links.send(effect.peer, effect.message)
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_soon(self._on_message, own_address, effect.message)
+
+    def _reply(self, effect: ReplyToCaller) -> None:
+        self.callers.reply(effect.exchange, effect.status, effect.headers, effect.body)
+
+    def _run(self, effect: RunOnBackendServer) -> None:
+        self.backend_server.run(
+            effect.run,
+            effect.method,
+            effect.path,
+            effect.headers,
+            effect.body,
+            effect.timeout,
+        )
+
+    def _call_store(self, effect: StoreCall) -> None:
+        self._spawn(self._call_store_and_report(effect))
+
+    async def _call_store_and_report(self, effect: StoreCall) -> None:
+        result = await self.store.call(effect.operation)
+        self.report(StoreAnswered(effect.call, result))
+
+    def _log_event(self, effect: LogEvent) -> None:
+        self.log.info(effect.event, **dict(effect.fields))
+
+    def execute(self, effect: Effect) -> None:
+        """Carry out one effect."""
+        self._executor_by_effect[type(effect)](effect)
--- /dev/null
+++ b/knapweedlead/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load generator."""
--- /dev/null
+++ b/knapweedlead/messages/_codec.py
@@ -0,0 +1,207 @@
+"""CBOR codec for attrs messages, positional and type-checked.
+
+A message travels as one CBOR array: its code, then its fields in declaration
+order. Decoding accepts exactly the declared types and nothing else.
+"""
+
+import io
+import typing
+from collections.abc import Callable
+from operator import attrgetter
+from typing import Any
+
+import attrs
+import cbor2
+from result import Err, Ok, Result
+
+from knapweedlead.errors import CodecError
+
+Message = Any
+"""An instance of a class decorated with `message`."""
+
+MAX_MESSAGE_BYTES = 8 * 1024 * 1024
+
+_PEER_UNKNOWN = "-"
+
+_class_by_code: dict[int, type] = {}
+_code_by_class: dict[type, int] = {}
+_packer_by_class: dict[type, Callable[[Any], list[Any]]] = {}
+_unpacker_by_class: dict[type, Callable[[Any], Any]] = {}
+
+
+class _MalformedError(ValueError):
+    """A decoded value that does not fit the declared type."""
+
+
+def message(code: int) -> Callable[[type], type]:
+    """Return a decorator that registers an attrs class under a wire code."""
+
+    def decorate(cls: type) -> type:
+        if code in _class_by_code:
+            raise ValueError(f"message code {code} is taken")
+        _class_by_code[code] = cls
+        _code_by_class[cls] = code
+        return nested(cls)
+
+    return decorate
+
+
+def nested(cls: type) -> type:
+    """Register an attrs class that occurs only as a field of messages."""
+    hints = typing.get_type_hints(cls)
+    names = [attribute.name for attribute in attrs.fields(cls)]
+    _packer_by_class[cls] = _make_packer(names, [hints[name] for name in names])
+    _unpacker_by_class[cls] = _make_unpacker(cls, [hints[name] for name in names])
+    return cls
+
+
+def _make_packer(names: list[str], hints: list[Any]) -> Callable[[Any], list[Any]]:
+    packers = [_value_packer(hint) for hint in hints]
+    if not names:
+        return lambda value: []
+    if all(packer is None for packer in packers):
+        if len(names) == 1:
+            only = attrgetter(names[0])
+            return lambda value: [only(value)]
+        getter = attrgetter(*names)
+        return lambda value: list(getter(value))
+    pairs = list(zip(names, packers, strict=True))
+
+    def pack(value: Any) -> list[Any]:
+        return [
+            getattr(value, name) if packer is None else packer(getattr(value, name))
+            for name, packer in pairs
+        ]
+
+    return pack
+
+
+def _value_packer(hint: Any) -> Callable[[Any], Any] | None:
+    """Return the packer of a type, or None where values pack as themselves."""
+    if attrs.has(hint):
+        return lambda value: _packer_by_class[hint](value)
+    if typing.get_origin(hint) is tuple:
+        inner = _value_packer(typing.get_args(hint)[0])
+        if inner is None:
+            return None
+        pack_each = inner
+        return lambda values: [pack_each(value) for value in values]
+    if typing.get_origin(hint) is dict:
+        inner = _value_packer(typing.get_args(hint)[1])
+        if inner is None:
+            return None
+        pack_one = inner
+        return lambda by_key: {key: pack_one(value) for key, value in by_key.items()}
+    return None
+
+
+def _make_unpacker(cls: type, hints: list[Any]) -> Callable[[Any], Any]:
+    unpackers = [_value_unpacker(hint) for hint in hints]
+    count = len(unpackers)
+
+    def unpack(values: Any) -> Any:
+        if type(values) not in (list, tuple) or len(values) != count:
+            raise _MalformedError(f"{cls.__name__}: expected {count} fields")
+        return cls(
+            *[unpacker(v) for unpacker, v in zip(unpackers, values, strict=True)]
+        )
+
+    return unpack
+
+
+def _value_unpacker(hint: Any) -> Callable[[Any], Any]:
+    origin = typing.get_origin(hint)
+    if attrs.has(hint):
+        return lambda value: _unpacker_by_class[hint](value)
+    if origin is tuple:
+        return _tuple_unpacker(hint)
+    if origin is dict:
+        return _dict_unpacker(hint)
+    if hint is float:
+        return _unpack_float
+    return _scalar_unpacker(hint)
+
+
+def _scalar_unpacker(kind: type) -> Callable[[Any], Any]:
+    def unpack(value: Any) -> Any:
+        if type(value) is not kind:
+            raise _MalformedError(
+                f"expected {kind.__name__}, got {type(value).__name__}"
+            )
+        return value
+
+    return unpack
+
+
+def _unpack_float(value: Any) -> float:
+    if type(value) is float:
+        return value
+    if type(value) is int:
+        return float(value)
+    raise _MalformedError(f"expected a number, got {type(value).__name__}")
+
+
+def _tuple_unpacker(hint: Any) -> Callable[[Any], Any]:
+    inner = _value_unpacker(typing.get_args(hint)[0])
+
+    def unpack(values: Any) -> Any:
+        if type(values) not in (list, tuple):
+            raise _MalformedError(f"expected a list, got {type(values).__name__}")
+        return tuple(inner(value) for value in values)
+
+    return unpack
+
+
+def _dict_unpacker(hint: Any) -> Callable[[Any], Any]:
+    key_hint, value_hint = typing.get_args(hint)
+    key_of = _value_unpacker(key_hint)
+    value_of = _value_unpacker(value_hint)
+
+    def unpack(by_key: Any) -> Any:
+        if type(by_key) is not dict:
+            raise _MalformedError(f"expected a map, got {type(by_key).__name__}")
+        return {key_of(key): value_of(value) for key, value in by_key.items()}
+
+    return unpack
+
+
+def encode_message(value: Message) -> bytes:
+    """Return the bytes of a message."""
+    cls = type(value)
+    return cbor2.dumps([_code_by_class[cls], *_packer_by_class[cls](value)])
+
+
+def decode_message(
+    data: bytes, peer: str = _PEER_UNKNOWN
+) -> Result[Message, CodecError]:
+    """Decode one message that fills `data` exactly.
+
+    Parameters
+    ----------
+    data : bytes
+        At most `MAX_MESSAGE_BYTES` bytes.
+    peer : str
+        Link address of the sender, for the error.
+    """
+    if len(data) > MAX_MESSAGE_BYTES:
+        return _refuse(peer, f"expected at most {MAX_MESSAGE_BYTES} bytes")
+    stream = io.BytesIO(data)
+    try:
+        values = cbor2.load(stream)
+    except Exception as error:
+        return _refuse(peer, f"not CBOR: {type(error).__name__}")
+    if stream.tell() != len(data):
+        return _refuse(peer, "trailing bytes")
+    if type(values) is not list or not values or type(values[0]) is not int:
+        return _refuse(peer, "not a message array")
+    cls = _class_by_code.get(values[0])
+    if cls is None:
+        return _refuse(peer, f"unknown message code {values[0]}")
+    try:
+        return Ok(_unpacker_by_class[cls](values[1:]))
+    except (ValueError, TypeError, RecursionError) as error:
+        return _refuse(peer, f"{cls.__name__}: {error}")
+
+
+def _refuse(peer: str, detail: str) -> Err[CodecError]:
+    return Err(CodecError(step="messages.decode", peer=peer, detail=detail))
--- /dev/null
+++ b/knapweedlead/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Operator API and command line."""
--- /dev/null
+++ b/knapweedlead/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Slots: fenced ownership of shared state."""
--- a/knapweedlead/parameters/tests/__init__.py
+++ b/knapweedlead/parameters/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the parameters package."""
--- /dev/null
+++ b/knapweedlead/platform/_http_store.py
@@ -0,0 +1,196 @@
+"""HTTP client of the platform's store.
+
+Speaks the published interface of Consul's key-value store: ``/v1/kv`` and
+``/v1/session``.
+"""
+
+import asyncio
+import base64
+import json
+from collections.abc import Awaitable, Callable
+from typing import Any
+from urllib.parse import quote
+
+from blacksheep import Content, Response
+from blacksheep.client import ClientSession
+from blacksheep.client.exceptions import ConnectionTimeout, RequestTimeout
+from result import Err, Ok, Result
+
+from knapweedlead.errors import StoreError, StoreFault
+from knapweedlead.platform._port import (
+    CompareAndSwap,
+    CreateLease,
+    Delete,
+    Entry,
+    Get,
+    LeaseGranted,
+    List,
+    Listing,
+    RenewLease,
+    RevokeLease,
+    StoreOperation,
+    StoreResult,
+    Watch,
+    Written,
+)
+
+_NOT_FOUND = 404
+_OK = 200
+_WATCH_GRACE = 2.0
+"""Seconds that a watch's answer may take beyond its wait."""
+
+_Answer = Result[StoreResult, StoreError]
+
+
+class HttpStore:
+    """Calls the store over HTTP.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT`` of the store.
+    timeout : float
+        Seconds after which a call counts as failed.
+    """
+
+    def __init__(self, address: str, timeout: float) -> None:
+        self.address = address
+        self.timeout = timeout
+        self._session: ClientSession | None = None
+        self._method_by_operation: dict[type, Callable[[Any], Awaitable[_Answer]]] = {
+            Get: self._get,
+            List: self._list,
+            Watch: self._watch,
+            CompareAndSwap: self._compare_and_swap,
+            Delete: self._delete,
+            CreateLease: self._create_lease,
+            RenewLease: self._renew_lease,
+            RevokeLease: self._revoke_lease,
+        }
+
+    async def start(self) -> None:
+        """Open the client session."""
+        self._session = ClientSession(base_url=f"http://{self.address}")
+
+    async def stop(self) -> None:
+        """Close the client session."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def call(self, operation: StoreOperation) -> _Answer:
+        """Carry out one operation.
+
+        Returns
+        -------
+        Result
+            The answer; on failure an error whose fault says whether a write
+            may have taken effect.
+        """
+        method = self._method_by_operation[type(operation)]
+        step = f"store.{type(operation).__name__}"
+        try:
+            return await method(operation)
+        except (ConnectionRefusedError, ConnectionTimeout) as error:
+            return self._failed(step, error, StoreFault.UNAVAILABLE)
+        except (OSError, TimeoutError, RequestTimeout, ValueError) as error:
+            return self._failed(step, error, StoreFault.UNKNOWN_OUTCOME)
+        except Exception as error:  # the client raises many connection errors
+            return self._failed(step, error, StoreFault.UNKNOWN_OUTCOME)
+
+    def _failed(self, step: str, error: Exception, fault: StoreFault) -> _Answer:
+        detail = f"{type(error).__name__}: {error}"
+        return Err(StoreError(step, self.address, detail, fault))
+
+    async def _send(
+        self, method: str, path: str, body: bytes | None, timeout: float
+    ) -> Response:
+        assert self._session is not None
+        content = None if body is None else Content(b"application/octet-stream", body)
+        request = {
+            "GET": self._session.get,
+            "PUT": lambda url: self._session.put(url, content),  # type: ignore[union-attr]
+            "DELETE": self._session.delete,
+        }[method]
+        async with asyncio.timeout(timeout):
+            response = await request(path)
+            await response.read()
+            return response
+
+    async def _get(self, operation: Get) -> _Answer:
+        url = f"/v1/kv/{quote(operation.key)}"
+        response = await self._send("GET", url, None, self.timeout)
+        return await self._entry(operation.key, response)
+
+    async def _watch(self, operation: Watch) -> _Answer:
+        url = (
+            f"/v1/kv/{quote(operation.key)}"
+            f"?index={operation.after}&wait={operation.wait:g}s"
+        )
+        timeout = operation.wait + _WATCH_GRACE
+        response = await self._send("GET", url, None, timeout)
+        return await self._entry(operation.key, response)
+
+    async def _entry(self, key: str, response: Response) -> _Answer:
+        if response.status == _NOT_FOUND:
+            return Ok(Entry(key, b"", 0))
+        documents = await self._json(response)
+        return Ok(_entry_of(documents[0]))
+
+    async def _list(self, operation: List) -> _Answer:
+        url = f"/v1/kv/{quote(operation.prefix)}?recurse=true"
+        response = await self._send("GET", url, None, self.timeout)
+        if response.status == _NOT_FOUND:
+            return Ok(Listing(()))
+        documents = await self._json(response)
+        return Ok(Listing(tuple(_entry_of(document) for document in documents)))
+
+    async def _compare_and_swap(self, operation: CompareAndSwap) -> _Answer:
+        url = f"/v1/kv/{quote(operation.key)}?cas={operation.expected}"
+        if operation.lease:
+            url += f"&acquire={operation.lease}"
+        response = await self._send("PUT", url, operation.value, self.timeout)
+        return self._written(operation.key, await self._json(response))
+
+    async def _delete(self, operation: Delete) -> _Answer:
+        url = f"/v1/kv/{quote(operation.key)}?cas={operation.expected}"
+        response = await self._send("DELETE", url, None, self.timeout)
+        return self._written(operation.key, await self._json(response))
+
+    def _written(self, key: str, document: Any) -> _Answer:
+        if document is True:
+            return Ok(Written(0))
+        return self._conflict("store.write", f"{key} has another revision")
+
+    async def _create_lease(self, operation: CreateLease) -> _Answer:
+        body = json.dumps({"TTL": f"{operation.seconds:g}s", "Behavior": "delete"})
+        response = await self._send(
+            "PUT", "/v1/session/create", body.encode(), self.timeout
+        )
+        document = await self._json(response)
+        return Ok(LeaseGranted(document["ID"], operation.seconds))
+
+    async def _renew_lease(self, operation: RenewLease) -> _Answer:
+        url = f"/v1/session/renew/{operation.lease}"
+        response = await self._send("PUT", url, b"", self.timeout)
+        if response.status == _NOT_FOUND:
+            return self._conflict("store.renew", f"lease {operation.lease} lapsed")
+        document = await self._json(response)
+        return Ok(LeaseGranted(operation.lease, float(document[0]["TTL"].rstrip("s"))))
+
+    async def _revoke_lease(self, operation: RevokeLease) -> _Answer:
+        url = f"/v1/session/destroy/{operation.lease}"
+        await self._json(await self._send("PUT", url, b"", self.timeout))
+        return Ok(Written(0))
+
+    async def _json(self, response: Response) -> Any:
+        if response.status != _OK:
+            raise ValueError(f"status {response.status}")
+        return await response.json()
+
+    def _conflict(self, step: str, detail: str) -> _Answer:
+        return Err(StoreError(step, self.address, detail, StoreFault.CONFLICT))
+
+
+def _entry_of(document: Any) -> Entry:
+    value = base64.b64decode(document["Value"] or "")
+    return Entry(document["Key"], value, document["ModifyIndex"])
--- /dev/null
+++ b/knapweedlead/requests/__init__.py
@@ -0,0 +1,27 @@
+"""What a request is: outcome, reasons, once records."""
+
+from knapweedlead.requests._once import (
+    OnceClaimKey,
+    OnceDecided,
+    OnceDecision,
+    StoredAnswer,
+)
+from knapweedlead.requests._once_role import OnceRole
+from knapweedlead.requests._reasons import (
+    Outcome,
+    RefusalReason,
+    RetryReason,
+    status_of_reason,
+)
+
+__all__ = [
+    "OnceClaimKey",
+    "OnceDecided",
+    "OnceDecision",
+    "OnceRole",
+    "Outcome",
+    "RefusalReason",
+    "RetryReason",
+    "StoredAnswer",
+    "status_of_reason",
+]
--- /dev/null
+++ b/knapweedlead/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retry credits, budgets and backoff."""
--- /dev/null
+++ b/knapweedlead/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a backend server from what entries observe."""
--- /dev/null
+++ b/knapweedlead/settings/__init__.py
@@ -0,0 +1,22 @@
+"""Settings of the daemon: JSON with comments, checked before anything starts."""
+
+from knapweedlead.settings._loader import build_settings, load_settings
+from knapweedlead.settings._schema import (
+    AdmissionSettings,
+    BackendServerSettings,
+    DaemonSettings,
+    RoutingSettings,
+    StoreSettings,
+    TelemetrySettings,
+)
+
+__all__ = [
+    "AdmissionSettings",
+    "BackendServerSettings",
+    "DaemonSettings",
+    "RoutingSettings",
+    "StoreSettings",
+    "TelemetrySettings",
+    "build_settings",
+    "load_settings",
+]
--- /dev/null
+++ b/knapweedlead/settings/_loader.py
@@ -0,0 +1,91 @@
+"""Reading and checking of settings files."""
+
+import typing
+from pathlib import Path
+from typing import Any, TypeVar
+
+import attrs
+import json5
+from result import Err, Ok, Result
+
+from knapweedlead.errors import SettingsError
+from knapweedlead.parameters import Constraint
+
+T = TypeVar("T")
+
+_SECRET_FIELDS = frozenset({"fleet_secret", "operator_credential"})
+
+
+def load_settings(cls: type[T], path: str) -> Result[T, SettingsError]:
+    """Read a settings file into an attrs class.
+
+    Parameters
+    ----------
+    cls : type
+        Class with ``parameter_constraints``.
+    path : str
+        File in JSON with comments.
+
+    Returns
+    -------
+    Result
+        The settings, or an error naming file, field, expected and found.
+    """
+    try:
+        text = Path(path).read_text("utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return _refuse(path, "-", "a readable file", type(error).__name__)
+    try:
+        document = json5.loads(text, allow_duplicate_keys=False)
+    except ValueError as error:
+        return _refuse(path, "-", "JSON with comments", str(error).splitlines()[0])
+    return build_settings(cls, document, path, "")
+
+
+def build_settings(
+    cls: type[T], document: Any, path: str, prefix: str
+) -> Result[T, SettingsError]:
+    """Build `cls` from a decoded document; `prefix` names the enclosing field."""
+    if not isinstance(document, dict):
+        return _refuse(path, prefix.rstrip(".") or "-", "an object", repr(document))
+    hints = typing.get_type_hints(cls)
+    fields = {attribute.name: attribute for attribute in attrs.fields(cls)}  # type: ignore[arg-type]
+    for name in document:
+        if name not in fields:
+            expected = "one of " + ", ".join(fields)
+            return _refuse(path, prefix + name, expected, "an unknown field")
+    values: dict[str, Any] = {}
+    for name, attribute in fields.items():
+        if name not in document:
+            if attribute.default is attrs.NOTHING:
+                return _refuse(path, prefix + name, "a value", "none")
+            continue
+        built = _build_value(cls, name, hints[name], document[name], path, prefix)
+        if isinstance(built, Err):
+            return built
+        values[name] = built.ok_value
+    return Ok(cls(**values))
+
+
+def _build_value(
+    cls: Any, name: str, hint: Any, value: Any, path: str, prefix: str
+) -> Result[Any, SettingsError]:
+    if attrs.has(hint):
+        return build_settings(hint, value, path, f"{prefix}{name}.")
+    constraint: Constraint = cls.parameter_constraints[name]
+    if not constraint.accepts(value):
+        found = "a secret" if name in _SECRET_FIELDS else repr(value)
+        return _refuse(path, prefix + name, constraint.describe(), found)
+    return Ok(value)
+
+
+def _refuse(path: str, field: str, expected: str, found: str) -> Err[SettingsError]:
+    error = SettingsError(
+        step="settings.load",
+        peer=path,
+        detail="does not validate",
+        field=field,
+        expected=expected,
+        found=found,
+    )
+    return Err(error)
--- /dev/null
+++ b/knapweedlead/settings/_schema.py
@@ -0,0 +1,204 @@
+"""Schema of the daemon's settings."""
+
+import ipaddress
+from typing import Any, ClassVar
+
+import attrs
+
+from knapweedlead.parameters import Choice, Constraint, InstanceOf, Interval
+
+MAX_PORT = 65535
+MIN_SECRET_LENGTH = 16
+
+
+@attrs.frozen
+class Address:
+    """Constraint: ``IP:PORT`` with a literal IP address."""
+
+    def accepts(self, value: Any) -> bool:
+        """Return whether `value` is a usable address."""
+        if not isinstance(value, str):
+            return False
+        host, separator, port = value.rpartition(":")
+        if not separator or not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
+            return False
+        try:
+            ipaddress.ip_address(host.strip("[]"))
+        except ValueError:
+            return False
+        return True
+
+    def describe(self) -> str:
+        """Return what is expected."""
+        return "an address 'IP:PORT' with a literal IP"
+
+
+@attrs.frozen
+class Secret:
+    """Constraint: a secret text of at least 16 characters."""
+
+    def accepts(self, value: Any) -> bool:
+        """Return whether `value` is long enough."""
+        return isinstance(value, str) and len(value) >= MIN_SECRET_LENGTH
+
+    def describe(self) -> str:
+        """Return what is expected."""
+        return f"a secret of at least {MIN_SECRET_LENGTH} characters"
+
+
+@attrs.frozen
+class Name:
+    """Constraint: a name of 1 to 128 characters without ``/``."""
+
+    def accepts(self, value: Any) -> bool:
+        """Return whether `value` is a usable name."""
+        return isinstance(value, str) and 0 < len(value) <= 128 and "/" not in value
+
+    def describe(self) -> str:
+        """Return what is expected."""
+        return "a name of 1 to 128 characters without '/'"
+
+
+@attrs.frozen
+class BackendServerSettings:
+    """The backend server beside the daemon.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT`` of its HTTP server.
+    slots : int
+        Calls that it runs at once.
+    cold_slots : int
+        Calls that it bears at once in a cold start.
+    cold_start_s : float
+        Seconds that a cold start lasts.
+    connections : int
+        Connections that it accepts.
+    """
+
+    address: str
+    slots: int
+    cold_slots: int
+    cold_start_s: float
+    connections: int
+
+    parameter_constraints: ClassVar[dict[str, Constraint]] = {
+        "address": Address(),
+        "slots": Interval(int, 1, 100_000, "calls"),
+        "cold_slots": Interval(int, 1, 100_000, "calls"),
+        "cold_start_s": Interval(float, 0.0, 3600.0, "s"),
+        "connections": Interval(int, 1, 100_000, "connections"),
+    }
+
+
+@attrs.frozen
+class StoreSettings:
+    """The platform's store.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT`` of its HTTP interface.
+    timeout_s : float
+        Seconds after which a call counts as failed.
+    """
+
+    address: str
+    timeout_s: float = 2.0
+
+    parameter_constraints: ClassVar[dict[str, Constraint]] = {
+        "address": Address(),
+        "timeout_s": Interval(float, 0.05, 60.0, "s"),
+    }
+
+
+@attrs.frozen
+class AdmissionSettings:
+    """Names of the policies of the guard."""
+
+    limiter: str = "static"
+    queue: str = "priority_fair"
+
+    parameter_constraints: ClassVar[dict[str, Constraint]] = {
+        "limiter": InstanceOf(str),
+        "queue": InstanceOf(str),
+    }
+
+
+@attrs.frozen
+class RoutingSettings:
+    """Names of the policies of the entry."""
+
+    balancer: str = "two_choices"
+
+    parameter_constraints: ClassVar[dict[str, Constraint]] = {
+        "balancer": InstanceOf(str)
+    }
+
+
+@attrs.frozen
+class TelemetrySettings:
+    """Logs."""
+
+    log_level: str = "info"
+
+    parameter_constraints: ClassVar[dict[str, Constraint]] = {
+        "log_level": Choice(("debug", "info", "warning", "error"))
+    }
+
+
+@attrs.frozen
+class DaemonSettings:
+    """All settings of a daemon.
+
+    Parameters
+    ----------
+    name : str
+        Member name, unique in the fleet.
+    instance, region, data_centre, service : str
+        Where the daemon runs and which service its backend server belongs to.
+    link_address, caller_address, operator_address : str
+        ``IP:PORT`` of the listeners for daemons, callers and operators.
+    fleet_secret : str
+        Shared by all daemons; proves a link.
+    operator_credential : str
+        Bearer token that the operator API asks for.
+    backend_server : BackendServerSettings
+        The backend server beside the daemon.
+    store : StoreSettings
+        The platform's store.
+    seed : int
+        Seed of the daemon's random generator; 0 takes one from the system.
+    """
+
+    name: str
+    instance: str
+    region: str
+    data_centre: str
+    service: str
+    link_address: str
+    caller_address: str
+    operator_address: str
+    fleet_secret: str = attrs.field(repr=False)
+    operator_credential: str = attrs.field(repr=False)
+    backend_server: BackendServerSettings = attrs.field()
+    store: StoreSettings = attrs.field()
+    seed: int = 0
+    admission: AdmissionSettings = AdmissionSettings()
+    routing: RoutingSettings = RoutingSettings()
+    telemetry: TelemetrySettings = TelemetrySettings()
+
+    parameter_constraints: ClassVar[dict[str, Constraint]] = {
+        "name": Name(),
+        "instance": Name(),
+        "region": Name(),
+        "data_centre": Name(),
+        "service": Name(),
+        "link_address": Address(),
+        "caller_address": Address(),
+        "operator_address": Address(),
+        "fleet_secret": Secret(),
+        "operator_credential": Secret(),
+        "seed": Interval(int, 0, 2**63 - 1),
+    }
--- /dev/null
+++ b/knapweedlead/transport/__init__.py
@@ -0,0 +1,14 @@
+"""HTTP and links between processes."""
+
+from knapweedlead.transport._addresses import split_address
+from knapweedlead.transport._http_client import BackendServerClient
+from knapweedlead.transport._http_server import CallerServer, HttpRequest
+from knapweedlead.transport._links import LinkTable
+
+__all__ = [
+    "BackendServerClient",
+    "CallerServer",
+    "HttpRequest",
+    "LinkTable",
+    "split_address",
+]
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, backend servers and callers."""
--- /dev/null
+++ b/standins/cores.py
@@ -0,0 +1,468 @@
+"""Many node cores in one process under a hand-driven clock.
+
+Fakes of the shell's interfaces only: links with delay, loss and cuts, the
+platform's store with its faults, backend servers with slots. Everything random
+comes from one seed, so that a run repeats exactly.
+"""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+from result import Err, Ok
+
+from knapweedlead.daemon import Composition, compose
+from knapweedlead.errors import StoreError, StoreFault
+from knapweedlead.node import (
+    CallerGone,
+    CallReceived,
+    CancelRun,
+    Effect,
+    Event,
+    LinkDown,
+    LinkUp,
+    MessageReceived,
+    OpenLink,
+    ReplyToCaller,
+    RunAnswered,
+    RunFailed,
+    RunOnBackendServer,
+    SendFailed,
+    SendMessage,
+    Started,
+    StoreAnswered,
+    StoreCall,
+    Tick,
+    WakeAt,
+)
+from knapweedlead.settings import BackendServerSettings, DaemonSettings, StoreSettings
+from standins.core_store import CoreStore
+
+TICK_SECONDS = 0.1
+
+FIRST_PORT = 10_000
+
+
+@attrs.define
+class RunningRequest:
+    """A request on a fake backend server."""
+
+    run: int
+    path: str
+    headers: dict[str, str]
+    started_at: float
+    is_cancelled: bool = False
+
+
+@attrs.define(eq=False)
+class CoreBackendServer:
+    """A fake backend server that answers after a service time.
+
+    Parameters
+    ----------
+    slots : int
+        Requests that run at once; more wait in order.
+    service_s : float
+        Seconds of work for a request.
+    status : int
+        Status of each answer; 0 breaks the connection instead.
+    child_paths : list of str
+        Paths called one after another through the own daemon.
+    """
+
+    slots: int = 16
+    service_s: float = 0.005
+    status: int = 200
+    child_paths: list[str] = attrs.field(factory=list)
+    journal: list[RunningRequest] = attrs.field(factory=list)
+    waiting: list[RunningRequest] = attrs.field(factory=list)
+    running_by_run: dict[int, RunningRequest] = attrs.field(factory=dict)
+    most_running: int = 0
+
+
+@attrs.define
+class CallerReply:
+    """The reply to a fake caller; None fields until it comes."""
+
+    sent_at: float
+    status: int | None = None
+    headers: dict[str, str] = attrs.field(factory=dict)
+    body: bytes = b""
+    replied_at: float = 0.0
+
+
+@attrs.define(eq=False)
+class Core:
+    """One node core with its fakes.
+
+    Parameters
+    ----------
+    settings : DaemonSettings
+        Settings that composed the node.
+    composition : Composition
+        The node and its roles.
+    backend_server : CoreBackendServer
+        The fake beside it.
+    clock_rate, clock_offset : float
+        The node's clock reads ``offset + rate * time``.
+    """
+
+    settings: DaemonSettings
+    composition: Composition
+    backend_server: CoreBackendServer
+    clock_rate: float = 1.0
+    clock_offset: float = 0.0
+    is_up: bool = True
+    is_paused: bool = False
+    backlog: list[Event] = attrs.field(factory=list)
+    open_links: set[str] = attrs.field(factory=set)
+    reply_by_exchange: dict[int, CallerReply] = attrs.field(factory=dict)
+    on_reply_by_exchange: dict[int, Callable[[CallerReply], None]] = attrs.field(
+        factory=dict
+    )
+    other_effects: list[Effect] = attrs.field(factory=list)
+
+    @property
+    def name(self) -> str:
+        """Member name."""
+        return self.settings.name
+
+    @property
+    def address(self) -> str:
+        """Link address."""
+        return self.settings.link_address
+
+
+class Cores:
+    """A set of cores, the fake network and the fake store.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of everything random.
+    delay : float
+        Seconds that a message takes on a link.
+    """
+
+    def __init__(self, seed: int = 0, delay: float = 0.0005) -> None:
+        self.rng = random.Random(seed)
+        self.delay = delay
+        self.loss = 0.0
+        self.now = 0.0
+        self.store = CoreStore()
+        self.by_name: dict[str, Core] = {}
+        self.cut_pairs: set[tuple[str, str]] = set()
+        """Ordered pairs of core names between which messages are lost."""
+        self.cut_from_store: set[str] = set()
+        self.messages_sent = 0
+        self.delay_of: Callable[[Core, Core], float] = lambda a, b: self.delay
+        self._by_address: dict[str, Core] = {}
+        self._agenda: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._exchanges = itertools.count(1)
+
+    def add(
+        self,
+        name: str,
+        service: str,
+        data_centre: str = "dc1",
+        region: str = "region1",
+        backend_server: CoreBackendServer | None = None,
+        **settings: Any,
+    ) -> Core:
+        """Add and start a core."""
+        fake = backend_server or CoreBackendServer()
+        port = FIRST_PORT + len(self.by_name)
+        daemon_settings = DaemonSettings(
+            name=name,
+            instance=f"instance-{name}",
+            region=region,
+            data_centre=data_centre,
+            service=service,
+            link_address=f"127.0.0.1:{port}",
+            caller_address=f"127.0.1.1:{port}",
+            operator_address=f"127.0.2.1:{port}",
+            fleet_secret="fleet-secret-of-the-cores",
+            operator_credential="operator-credential-of-the-cores",
+            backend_server=BackendServerSettings(
+                f"127.0.3.1:{port}", fake.slots, min(4, fake.slots), 0.0, 1000
+            ),
+            store=StoreSettings("127.0.4.1:8500"),
+            **settings,
+        )
+        core = Core(daemon_settings, self._compose(daemon_settings), fake)
+        self.by_name[name] = core
+        self._by_address[core.address] = core
+        self._start(core)
+        return core
+
+    def _compose(self, settings: DaemonSettings) -> Composition:
+        incarnation = 1 + int(self.now * 1000)
+        return compose(settings, incarnation, random.Random(self.rng.getrandbits(64)))
+
+    def _start(self, core: Core) -> None:
+        self.report(core, Started())
+        self._tick(core, core.composition)
+
+    def _tick(self, core: Core, composition: Composition) -> None:
+        if not core.is_up or core.composition is not composition:
+            return
+        if not core.is_paused:
+            self.report(core, Tick())
+        self.at(self.now + TICK_SECONDS, lambda: self._tick(core, composition))
+
+    def crash(self, name: str) -> None:
+        """Kill a core; its links go down for its peers."""
+        core = self.by_name[name]
+        core.is_up = False
+        core.is_paused = False
+        core.backlog.clear()
+        core.open_links.clear()
+        core.reply_by_exchange.clear()
+        core.on_reply_by_exchange.clear()
+        for other in self.by_name.values():
+            self._lose_link(other, core.address, is_refused=False)
+
+    def restart(self, name: str) -> None:
+        """Start a crashed core again with empty memory."""
+        core = self.by_name[name]
+        core.composition = self._compose(core.settings)
+        core.is_up = True
+        self._start(core)
+
+    def pause(self, name: str) -> None:
+        """Freeze a core; what reaches it waits."""
+        self.by_name[name].is_paused = True
+
+    def resume(self, name: str) -> None:
+        """Wake a frozen core and let it see what waited."""
+        core = self.by_name[name]
+        core.is_paused = False
+        backlog, core.backlog = core.backlog, []
+        for event in backlog:
+            self.report(core, event)
+
+    def cut(self, left: str, right: str) -> None:
+        """Lose messages between two cores, both ways."""
+        self.cut_pairs |= {(left, right), (right, left)}
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self.cut_pairs.clear()
+        self.cut_from_store.clear()
+
+    def at(self, time: float, action: Callable[[], None]) -> None:
+        """Do something at a time."""
+        heapq.heappush(self._agenda, (time, next(self._order), action))
+
+    def run_until(self, time: float) -> None:
+        """Advance the clock."""
+        while self._agenda and self._agenda[0][0] <= time:
+            self.now, _, action = heapq.heappop(self._agenda)
+            action()
+        self.now = time
+
+    def run_for(self, seconds: float) -> None:
+        """Advance the clock by some seconds."""
+        self.run_until(self.now + seconds)
+
+    def call(
+        self,
+        name: str,
+        path: str,
+        headers: dict[str, str] | None = None,
+        method: str = "GET",
+        body: bytes = b"",
+        on_reply: Callable[[CallerReply], None] | None = None,
+    ) -> CallerReply:
+        """Send a caller's request to a core; the reply fills in later."""
+        core = self.by_name[name]
+        exchange = next(self._exchanges)
+        reply = CallerReply(self.now)
+        core.reply_by_exchange[exchange] = reply
+        if on_reply is not None:
+            core.on_reply_by_exchange[exchange] = on_reply
+        event = CallReceived(exchange, method, path, headers or {}, body, "caller")
+        self.report(core, event)
+        return reply
+
+    def hang_up(self, name: str, reply: CallerReply) -> None:
+        """Close a caller's connection before its reply."""
+        core = self.by_name[name]
+        for exchange, waiting in list(core.reply_by_exchange.items()):
+            if waiting is reply:
+                del core.reply_by_exchange[exchange]
+                core.on_reply_by_exchange.pop(exchange, None)
+                self.report(core, CallerGone(exchange))
+
+    def report(self, core: Core, event: Event) -> None:
+        """Hand an event to a core and carry out the effects."""
+        if not core.is_up:
+            return
+        if core.is_paused:
+            core.backlog.append(event)
+            return
+        clock = core.clock_offset + core.clock_rate * self.now
+        for effect in core.composition.node.handle(event, clock):
+            self._execute(core, effect)
+
+    def _execute(self, core: Core, effect: Effect) -> None:
+        match effect:
+            case SendMessage():
+                self._send(core, effect)
+            case OpenLink():
+                self._open_link(core, effect.peer)
+            case ReplyToCaller():
+                self._reply(core, effect)
+            case RunOnBackendServer():
+                self._run(core, effect)
+            case CancelRun():
+                self._cancel(core, effect.run)
+            case StoreCall():
+                self._call_store(core, effect)
+            case WakeAt():
+                real = (effect.time - core.clock_offset) / core.clock_rate
+                at = max(self.now, real)
+                self.at(at, self._reporting(core, Tick()))
+            case _:
+                core.other_effects.append(effect)
+
+    def _reporting(self, core: Core, event: Event) -> Callable[[], None]:
+        """Return an action that reports to the present start of a core."""
+        composition = core.composition
+
+        def report() -> None:
+            if core.composition is composition:
+                self.report(core, event)
+
+        return report
+
+    def _send(self, core: Core, effect: SendMessage) -> None:
+        self.messages_sent += 1
+        peer, message = effect.peer, effect.message
+        other = self._by_address.get(peer)
+        if other is core:
+            self.at(self.now, self._reporting(core, MessageReceived(peer, message)))
+            return
+        if other is None or not other.is_up:
+            at = self.now + self.delay
+            self.at(at, self._reporting(core, SendFailed(peer, message)))
+            self.at(at, self._reporting(core, LinkDown(peer, is_refused=True)))
+            return
+        self._open_link(core, peer)
+        if (core.name, other.name) in self.cut_pairs or self.rng.random() < self.loss:
+            return
+        event = MessageReceived(core.address, message)
+        self.at(self.now + self.delay_of(core, other), self._reporting(other, event))
+
+    def _open_link(self, core: Core, peer: str) -> None:
+        other = self._by_address.get(peer)
+        if other is None or not other.is_up:
+            self.at(self.now, self._reporting(core, LinkDown(peer, is_refused=True)))
+        elif peer not in core.open_links:
+            core.open_links.add(peer)
+            identity = other.composition.identity
+            event = LinkUp(peer, identity.name, identity.incarnation)
+            self.at(self.now + self.delay, self._reporting(core, event))
+
+    def _lose_link(self, core: Core, peer: str, is_refused: bool) -> None:
+        if peer in core.open_links:
+            core.open_links.discard(peer)
+            event = LinkDown(peer, is_refused)
+            self.at(self.now + self.delay, self._reporting(core, event))
+
+    def _reply(self, core: Core, effect: ReplyToCaller) -> None:
+        reply = core.reply_by_exchange.pop(effect.exchange, None)
+        if reply is None:
+            return
+        reply.status = effect.status
+        reply.headers = effect.headers
+        reply.body = effect.body
+        reply.replied_at = self.now
+        on_reply = core.on_reply_by_exchange.pop(effect.exchange, None)
+        if on_reply is not None:
+            on_reply(reply)
+
+    def _run(self, core: Core, effect: RunOnBackendServer) -> None:
+        fake = core.backend_server
+        request = RunningRequest(effect.run, effect.path, effect.headers, self.now)
+        fake.journal.append(request)
+        if len(fake.running_by_run) < fake.slots:
+            self._begin(core, request)
+        else:
+            fake.waiting.append(request)
+
+    def _begin(self, core: Core, request: RunningRequest) -> None:
+        fake = core.backend_server
+        request.started_at = self.now
+        fake.running_by_run[request.run] = request
+        fake.most_running = max(fake.most_running, len(fake.running_by_run))
+        composition = core.composition
+
+        def work_done() -> None:
+            if core.composition is composition and not request.is_cancelled:
+                self._call_children(core, request, list(fake.child_paths))
+
+        self.at(self.now + fake.service_s, work_done)
+
+    def _call_children(
+        self, core: Core, request: RunningRequest, paths: list[str]
+    ) -> None:
+        if request.is_cancelled or not core.is_up:
+            return
+        if not paths:
+            self._end(core, request, core.backend_server.status)
+            return
+
+        def go_on(reply: CallerReply) -> None:
+            if reply.status == 200:
+                self._call_children(core, request, paths[1:])
+            else:
+                self._end(core, request, 502)
+
+        self.call(core.name, paths[0], dict(request.headers), on_reply=go_on)
+
+    def _end(self, core: Core, request: RunningRequest, status: int) -> None:
+        if request.is_cancelled:
+            return
+        self._leave(core, request)
+        if status:
+            event: Event = RunAnswered(request.run, status, {}, request.path.encode())
+        else:
+            event = RunFailed(request.run, was_sent=True, detail="connection lost")
+        self.report(core, event)
+
+    def _cancel(self, core: Core, run: int) -> None:
+        fake = core.backend_server
+        waiting = [request for request in fake.waiting if request.run == run]
+        request = fake.running_by_run.get(run) or next(iter(waiting), None)
+        if request is None:
+            return
+        request.is_cancelled = True
+        self._leave(core, request)
+        failed = RunFailed(run, was_sent=True, detail="cancelled")
+        self.at(self.now, self._reporting(core, failed))
+
+    def _leave(self, core: Core, request: RunningRequest) -> None:
+        fake = core.backend_server
+        fake.running_by_run.pop(request.run, None)
+        if request in fake.waiting:
+            fake.waiting.remove(request)
+        if fake.waiting and len(fake.running_by_run) < fake.slots:
+            self._begin(core, fake.waiting.pop(0))
+
+    def _call_store(self, core: Core, effect: StoreCall) -> None:
+        if core.name in self.cut_from_store:
+            error = StoreError("store", "store", "cut", StoreFault.UNAVAILABLE)
+            event = StoreAnswered(effect.call, Err(error))
+            self.at(self.now + self.delay, self._reporting(core, event))
+            return
+
+        def answered(result: Ok[Any] | Err[StoreError]) -> None:
+            event = StoreAnswered(effect.call, result)
+            self.at(self.now + self.delay, self._reporting(core, event))
+
+        self.store.call(effect.operation, self, answered)
--- /dev/null
+++ b/standins/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of whole paths through real processes."""
