--- a/knapweedlead/configuration/__init__.py
+++ b/knapweedlead/configuration/__init__.py
@@ -1,6 +1,14 @@
 """Operators' resources, their revisions and how they spread."""
 
 from knapweedlead.configuration._catalogue import Catalogue, parse_catalogue
+from knapweedlead.configuration._operations import (
+    ApplyResource,
+    DeleteResource,
+    GetResource,
+    GetStatus,
+    ListResources,
+    OperatorReply,
+)
 from knapweedlead.configuration._resources import (
     KINDS,
     BackendServer,
@@ -16,13 +24,19 @@
 
 __all__ = [
     "KINDS",
+    "ApplyResource",
     "BackendServer",
     "Catalogue",
     "ClientAccount",
     "ConfigurationChanged",
     "ConfigurationRole",
     "DataCentre",
+    "DeleteResource",
+    "GetResource",
+    "GetStatus",
     "Key",
+    "ListResources",
+    "OperatorReply",
     "Resource",
     "Route",
     "Service",
