--- a/knapweedlead/daemon/_composition.py
+++ b/knapweedlead/daemon/_composition.py
@@ -9,6 +9,7 @@
 from knapweedlead.configuration import ConfigurationRole
 from knapweedlead.membership import MembershipRole
 from knapweedlead.node import Identity, Node, StoreCalls
+from knapweedlead.operators import OperatorsRole
 from knapweedlead.requests import OnceRole
 from knapweedlead.settings import DaemonSettings
 
@@ -65,7 +66,15 @@
     once = OnceRole()
     guard = GuardRole(identity, backend_server.slots, configuration, rng)
     entry = EntryRole(configuration, membership, accounts, once, guard, rng)
-    roles = [configuration, membership, accounts, once, guard, entry]
+    roles = [
+        configuration,
+        membership,
+        accounts,
+        once,
+        guard,
+        entry,
+        OperatorsRole(),
+    ]
     return Composition(
         identity=identity,
         node=Node(roles),
--- /dev/null
+++ b/knapweedlead/daemon/_operator_door.py
@@ -0,0 +1,24 @@
+"""The operator API of a daemon, joined to its shell."""
+
+from knapweedlead.daemon._shell import Shell
+from knapweedlead.node import Count, OperatorCallReceived, ReplyToOperator
+from knapweedlead.operators import OperatorApi, PublishCatalogue
+
+
+def open_operator_api(shell: Shell) -> OperatorApi:
+    """Return the operator API, with its effects carried out by the shell."""
+    api = OperatorApi(
+        shell.settings.operator_credential,
+        lambda exchange, request: shell.report(OperatorCallReceived(exchange, request)),
+        lambda: b"",
+        lambda reason: shell.metrics.count(
+            Count("knapweedlead.operator.refusals", (("reason", reason),))
+        ),
+    )
+    shell.add_executor(
+        ReplyToOperator, lambda effect: api.reply(effect.exchange, effect.reply)
+    )
+    shell.add_executor(
+        PublishCatalogue, lambda effect: api.feed.publish(effect.catalogue)
+    )
+    return api
--- a/knapweedlead/daemon/_shell.py
+++ b/knapweedlead/daemon/_shell.py
@@ -121,6 +121,15 @@
         await self.store.stop()
         self.log.info("stopped")
 
+    async def close_to_callers(self) -> None:
+        """Accept no new callers and close their connections once idle."""
+        await self.callers.stop()
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing is in flight."""
+        return self.callers.open_exchanges == 0 and self.node.is_idle
+
     def request_shutdown(self) -> None:
         """Tell the node to finish its work."""
         self.report(ShutdownRequested())
@@ -204,6 +213,8 @@
     def _log_event(self, effect: LogEvent) -> None:
         self.log.info(effect.event, **dict(effect.fields))
 
-    def execute(self, effect: Effect) -> None:
-        """Carry out one effect."""
-        self._executor_by_effect[type(effect)](effect)
+    def add_executor(
+        self, effect_class: type[Effect], executor: Callable[[Any], None]
+    ) -> None:
+        """Have effects of a class carried out by `executor`."""
+        self._executor_by_effect[effect_class] = executor
--- a/knapweedlead/daemon/main.py
+++ b/knapweedlead/daemon/main.py
@@ -12,6 +12,8 @@
 from result import Err
 
 from knapweedlead.daemon._composition import compose
+from knapweedlead.daemon._lifecycle import Lifecycle
+from knapweedlead.daemon._operator_door import open_operator_api
 from knapweedlead.daemon._shell import Shell
 from knapweedlead.settings import DaemonSettings, load_settings
 from knapweedlead.telemetry import configure_logs
@@ -41,14 +43,14 @@
     incarnation = time.time_ns() // _NS_PER_MS
     rng = random.Random(settings.seed or secrets.randbits(64))
     shell = Shell(settings, compose(settings, incarnation, rng))
+    lifecycle = Lifecycle(shell, open_operator_api(shell))
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
-    await shell.start()
+    await lifecycle.start()
     await stopped.wait()
-    shell.request_shutdown()
-    await shell.stop()
+    await lifecycle.stop()
 
 
 def main() -> None:
--- a/knapweedlead/node/_node.py
+++ b/knapweedlead/node/_node.py
@@ -33,6 +33,11 @@
             for kind, handler in role.message_handlers():
                 self._handlers_by_message.setdefault(kind, []).append(handler)
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no role has anything left to finish."""
+        return all(role.is_idle for role in self.roles)
+
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Return the effects of an event.
 
--- a/knapweedlead/node/_role.py
+++ b/knapweedlead/node/_role.py
@@ -39,6 +39,11 @@
     only from their ``now`` argument, in seconds of a monotonic clock.
     """
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether the role has nothing left to finish before the process ends."""
+        return True
+
     def event_handlers(self) -> list[tuple[type, Callable[..., Iterable[Effect]]]]:
         """Return the marked event handlers of this role."""
         return self._marked(_EVENT_ATTRIBUTE)
--- a/knapweedlead/operators/__init__.py
+++ b/knapweedlead/operators/__init__.py
@@ -1,1 +1,13 @@
 """Operator API and command line."""
+
+from knapweedlead.operators._api import OperatorApi
+from knapweedlead.operators._changes import ChangeFeed, ChangeRecord
+from knapweedlead.operators._role import OperatorsRole, PublishCatalogue
+
+__all__ = [
+    "ChangeFeed",
+    "ChangeRecord",
+    "OperatorApi",
+    "OperatorsRole",
+    "PublishCatalogue",
+]
--- /dev/null
+++ b/knapweedlead/operators/_api.py
@@ -0,0 +1,264 @@
+"""Operator API: resources over HTTP, with ETags and watches.
+
+``/v1/{kind}`` and ``/v1/{kind}/{name}``, ``/v1/status`` and ``/metrics``. Every
+request shows the operator credential as a bearer token.
+"""
+
+import asyncio
+import contextlib
+import hmac
+import itertools
+import json
+import secrets
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from typing import Any
+
+import uvicorn
+from blacksheep import Application, Content, Request, Response, StreamedContent
+
+from knapweedlead.configuration import (
+    KINDS,
+    ApplyResource,
+    DeleteResource,
+    GetResource,
+    GetStatus,
+    ListResources,
+    OperatorReply,
+)
+from knapweedlead.operators._changes import ChangeFeed
+from knapweedlead.operators._problems import OperatorProblemError, problem
+from knapweedlead.transport import split_address
+
+REPLY_TIMEOUT = 15.0
+"""Seconds until a request without the node's reply is refused."""
+IDLE_SECONDS = 5.0
+"""Seconds after which a quiet watch sends a heartbeat line."""
+MAX_BODY_BYTES = 256 * 1024
+
+CHANGE_ID = b"Change-Id"
+
+_JSON = b"application/json"
+_LINES = b"application/jsonl"
+_TEXT = b"text/plain; version=0.0.4"
+
+_Handler = Callable[[Request], Awaitable[Response]]
+
+
+class _Server(uvicorn.Server):
+    """A server that leaves the process's signals alone."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        yield
+
+
+class OperatorApi:
+    """Serves operators and hands their requests to the node.
+
+    Parameters
+    ----------
+    credential : str
+        Bearer token that every request has to show.
+    ask : callable
+        Takes exchange number and operator request; the answer comes back
+        through `reply`.
+    render_metrics : callable
+        Returns the metrics in the Prometheus text format.
+    count_refusal : callable
+        Takes the reason for which a request was refused at this door.
+    """
+
+    def __init__(
+        self,
+        credential: str,
+        ask: Callable[[int, Any], None],
+        render_metrics: Callable[[], bytes],
+        count_refusal: Callable[[str], None],
+    ) -> None:
+        self.credential = credential
+        self.ask = ask
+        self.render_metrics = render_metrics
+        self.count_refusal = count_refusal
+        self.feed = ChangeFeed()
+        self._exchanges = itertools.count(1)
+        self._waiting_by_exchange: dict[int, asyncio.Future[OperatorReply]] = {}
+        self._server: _Server | None = None
+        self._task: asyncio.Task[None] | None = None
+        self.app = Application()
+        self._add_routes()
+
+    def _add_routes(self) -> None:
+        router = self.app.router
+        router.add_get("/metrics", self._guarded(self._get_metrics))
+        router.add_get("/v1/status", self._guarded(self._get_status))
+        router.add_get("/v1/{kind}", self._guarded(self._list))
+        router.add_get("/v1/{kind}/{name}", self._guarded(self._get))
+        router.add_put("/v1/{kind}/{name}", self._guarded(self._put))
+        router.add_delete("/v1/{kind}/{name}", self._guarded(self._delete))
+
+    async def start(self, address: str) -> None:
+        """Listen at ``IP:PORT``."""
+        host, port = split_address(address)
+        config = uvicorn.Config(
+            self.app,
+            host=host,
+            port=port,
+            log_config=None,
+            lifespan="on",
+            timeout_graceful_shutdown=1,
+        )
+        self._server = _Server(config)
+        self._task = asyncio.ensure_future(self._server.serve())
+        while not self._server.started and not self._task.done():
+            await asyncio.sleep(0.01)
+
+    async def stop(self) -> None:
+        """Close the listener and the watches."""
+        if self._server is not None and self._task is not None:
+            self._server.should_exit = True
+            await self._task
+
+    def reply(self, exchange: int, reply: OperatorReply) -> None:
+        """Answer a request; one that has given up is passed over."""
+        waiting = self._waiting_by_exchange.pop(exchange, None)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(reply)
+
+    def _guarded(self, handler: _Handler) -> _Handler:
+        """Wrap a handler in the credential check and the problem replies."""
+
+        async def handle(request: Request) -> Response:
+            try:
+                self._check_credential(request)
+                return await handler(request)
+            except OperatorProblemError as error:
+                self.count_refusal(error.reason)
+                return _json_response(error.status, error.document)
+
+        return handle
+
+    def _check_credential(self, request: Request) -> None:
+        header = request.get_first_header(b"Authorization") or b""
+        expected = f"Bearer {self.credential}".encode()
+        if not hmac.compare_digest(header, expected):
+            raise problem(401, "missing_credential", "the operator credential is asked")
+
+    async def _ask(self, operation: Any) -> OperatorReply:
+        exchange = next(self._exchanges)
+        waiting = asyncio.get_running_loop().create_future()
+        self._waiting_by_exchange[exchange] = waiting
+        self.ask(exchange, operation)
+        try:
+            return await asyncio.wait_for(waiting, REPLY_TIMEOUT)
+        except TimeoutError as error:
+            detail = "no answer in time; read the resource to learn its state"
+            raise problem(504, "timeout", detail) from error
+        finally:
+            self._waiting_by_exchange.pop(exchange, None)
+
+    async def _answer(self, operation: Any) -> Response:
+        reply = await self._ask(operation)
+        response = _json_response(reply.status, reply.document)
+        if reply.version is not None:
+            response.add_header(b"ETag", f'"{reply.version}"'.encode())
+        return response
+
+    async def _get_metrics(self, request: Request) -> Response:
+        return Response(200, content=Content(_TEXT, self.render_metrics()))
+
+    async def _get_status(self, request: Request) -> Response:
+        return await self._answer(GetStatus())
+
+    async def _list(self, request: Request) -> Response:
+        kind = _kind_of(request)
+        if request.query.get("watch", ["false"])[0] == "true":
+            return self._watch(request, kind)
+        return await self._answer(ListResources(kind))
+
+    async def _get(self, request: Request) -> Response:
+        return await self._answer(GetResource(_kind_of(request), _name_of(request)))
+
+    async def _put(self, request: Request) -> Response:
+        kind, name = _kind_of(request), _name_of(request)
+        document = await _document_of(request)
+        expected = _expected_version_of(request)
+        change_id = _change_id_of(request)
+        return await self._answer(
+            ApplyResource(kind, name, document, expected, change_id)
+        )
+
+    async def _delete(self, request: Request) -> Response:
+        kind, name = _kind_of(request), _name_of(request)
+        expected = _expected_version_of(request)
+        change_id = _change_id_of(request)
+        return await self._answer(DeleteResource(kind, name, expected, change_id))
+
+    def _watch(self, request: Request, kind: str) -> Response:
+        start = self._start_of_watch(request)
+
+        async def lines() -> AsyncIterator[bytes]:
+            async for records in self.feed.watch(start, kind, IDLE_SECONDS):
+                if records:
+                    yield b"".join(_line(r.to_document()) for r in records)
+                else:
+                    yield _line({"change": "heartbeat", "revision": self.feed.revision})
+
+        return Response(200, content=StreamedContent(_LINES, lines))
+
+    def _start_of_watch(self, request: Request) -> int:
+        text = request.query.get("from", [str(self.feed.revision)])[0]
+        if not text.isdecimal() or int(text) > self.feed.revision:
+            detail = f"expected a revision up to {self.feed.revision}, found {text!r}"
+            raise problem(400, "wrong_revision", detail)
+        if int(text) < self.feed.oldest_revision:
+            detail = f"changes before {self.feed.oldest_revision} are gone; list again"
+            raise problem(410, "compacted_revision", detail)
+        return int(text)
+
+
+def _kind_of(request: Request) -> str:
+    kind = str((request.route_values or {})["kind"])
+    if kind not in KINDS:
+        detail = f"expected one of {', '.join(KINDS)}, found {kind!r}"
+        raise problem(404, "unknown_kind", detail)
+    return kind
+
+
+def _name_of(request: Request) -> str:
+    return str((request.route_values or {})["name"])
+
+
+async def _document_of(request: Request) -> Any:
+    length = request.get_first_header(b"Content-Length") or b"0"
+    if not length.isdigit() or int(length) > MAX_BODY_BYTES:
+        raise problem(413, "too_large", f"expected at most {MAX_BODY_BYTES} bytes")
+    try:
+        return json.loads(await request.read() or b"")
+    except ValueError as error:
+        raise problem(400, "malformed_json", f"not JSON: {error}") from error
+
+
+def _expected_version_of(request: Request) -> int | None:
+    if request.get_first_header(b"If-None-Match") == b"*":
+        return 0
+    header = request.get_first_header(b"If-Match")
+    if header is None or header == b"*":
+        return None
+    text = header.decode("latin-1").strip('"')
+    if not text.isdecimal():
+        detail = f"If-Match: expected a quoted version, found {text!r}"
+        raise problem(400, "wrong_revision", detail)
+    return int(text)
+
+
+def _change_id_of(request: Request) -> str:
+    header = request.get_first_header(CHANGE_ID)
+    return header.decode("latin-1") if header else secrets.token_hex(8)
+
+
+def _line(document: dict[str, Any]) -> bytes:
+    return json.dumps(document, separators=(",", ":")).encode() + b"\n"
+
+
+def _json_response(status: int, document: Any) -> Response:
+    return Response(status, content=Content(_JSON, json.dumps(document).encode()))
--- /dev/null
+++ b/knapweedlead/operators/_problems.py
@@ -0,0 +1,31 @@
+"""Problem documents of the operator API."""
+
+from typing import Any
+
+TYPE_PREFIX = "urn:knapweedlead:operator:"
+
+
+class OperatorProblemError(Exception):
+    """A request that is refused at the door, with its problem document."""
+
+    def __init__(self, status: int, reason: str, detail: str) -> None:
+        super().__init__(detail)
+        self.status = status
+        self.reason = reason
+        self.detail = detail
+
+    @property
+    def document(self) -> dict[str, Any]:
+        """RFC 9457 problem document."""
+        return {
+            "type": TYPE_PREFIX + self.reason,
+            "title": self.reason.replace("_", " "),
+            "status": self.status,
+            "reason": self.reason,
+            "detail": self.detail,
+        }
+
+
+def problem(status: int, reason: str, detail: str) -> OperatorProblemError:
+    """Return a problem to raise."""
+    return OperatorProblemError(status, reason, detail)
--- a/knapweedlead/settings/_loader.py
+++ b/knapweedlead/settings/_loader.py
@@ -72,6 +72,8 @@
 ) -> Result[Any, SettingsError]:
     if attrs.has(hint):
         return build_settings(hint, value, path, f"{prefix}{name}.")
+    if typing.get_origin(hint) is tuple and attrs.has(typing.get_args(hint)[0]):
+        return _build_items(typing.get_args(hint)[0], value, path, prefix + name)
     constraint: Constraint = cls.parameter_constraints[name]
     if not constraint.accepts(value):
         found = "a secret" if name in _SECRET_FIELDS else repr(value)
@@ -79,6 +81,20 @@
     return Ok(value)
 
 
+def _build_items(
+    cls: Any, values: Any, path: str, name: str
+) -> Result[Any, SettingsError]:
+    if not isinstance(values, list):
+        return _refuse(path, name, "a list", repr(values))
+    items = []
+    for number, value in enumerate(values):
+        built = build_settings(cls, value, path, f"{name}[{number}].")
+        if isinstance(built, Err):
+            return built
+        items.append(built.ok_value)
+    return Ok(tuple(items))
+
+
 def _refuse(path: str, field: str, expected: str, found: str) -> Err[SettingsError]:
     error = SettingsError(
         step="settings.load",
