--- a/knapweedlead/operators/_command_line.py
+++ b/knapweedlead/operators/_command_line.py
@@ -8,11 +8,10 @@
 import sys
 import time
 from collections.abc import Coroutine
-from typing import Any, NoReturn, TypeVar
+from typing import Any, TypeVar
 
 from result import Err, Ok, Result
 
-from knapweedlead.errors import SettingsError
 from knapweedlead.operators._client import ApiAnswer, ApiError, OperatorClient
 from knapweedlead.operators._resource_file import ResourceDocument, load_resources
 from knapweedlead.operators._tables import render_resources, render_status
@@ -72,7 +71,7 @@
         """
         resources = load_resources(str(file))
         if isinstance(resources, Err):
-            _fail(EXIT_USAGE, str(resources.err_value))
+            raise _failure(EXIT_USAGE, str(resources.err_value))
         client = self._client()
         revision = 0
         for resource in resources.ok_value:
@@ -168,7 +167,9 @@
         self, kind: str, name: str, in_service: bool, wait: bool
     ) -> None:
         if kind not in ("data_centres", "backend_servers"):
-            _fail(EXIT_USAGE, f"expected data_centres or backend_servers, found {kind}")
+            raise _failure(
+                EXIT_USAGE, f"expected data_centres or backend_servers, found {kind}"
+            )
         client = self._client()
         path = f"/v1/{kind}/{name}"
         found = _run(client.request("GET", path))
@@ -186,7 +187,7 @@
         """Check a daemon's settings file without starting anything."""
         loaded = load_settings(DaemonSettings, str(file))
         if isinstance(loaded, Err):
-            _fail(EXIT_USAGE, str(loaded.err_value))
+            raise _failure(EXIT_USAGE, str(loaded.err_value))
         print(f"{file}: settings of {loaded.ok_value.name} are valid")
 
     def _finish(
@@ -207,13 +208,13 @@
                 return
             time.sleep(POLL_SECONDS)
         detail = f"revision {revision} is not yet in force on {', '.join(behind)}"
-        _fail(EXIT_NOT_IN_FORCE, detail)
+        raise _failure(EXIT_NOT_IN_FORCE, detail)
 
     def _client(self) -> OperatorClient:
         address = _text_of(self._address) or os.environ.get(ADDRESS_VARIABLE, "")
         credential = self._credential or os.environ.get(CREDENTIAL_VARIABLE, "")
         if not address or not credential:
-            _fail(
+            raise _failure(
                 EXIT_USAGE,
                 f"set --address and --credential, or {ADDRESS_VARIABLE} "
                 f"and {CREDENTIAL_VARIABLE}",
@@ -225,10 +226,14 @@
             return result.ok_value
         error = result.err_value
         if error.is_conflict:
-            _fail(EXIT_CONFLICT, f"{error}; read it again and repeat the change")
+            raise _failure(
+                EXIT_CONFLICT, f"{error}; read it again and repeat the change"
+            )
         if not error.status:
-            _fail(EXIT_UNREACHABLE, f"{error}; check --address or try another daemon")
-        _fail(EXIT_REFUSED, str(error))
+            raise _failure(
+                EXIT_UNREACHABLE, f"{error}; check --address or try another daemon"
+            )
+        raise _failure(EXIT_REFUSED, str(error))
 
     def _print(self, document: Any, table: str) -> None:
         if self._output == "json":
@@ -266,6 +271,7 @@
     return asyncio.run(coroutine)
 
 
-def _fail(code: int, text: str | SettingsError) -> NoReturn:
+def _failure(code: int, text: str) -> SystemExit:
+    """Print an error and return the exit that carries its code."""
     print(text, file=sys.stderr)
-    raise SystemExit(code)
+    return SystemExit(code)
