--- a/knapweedlead/operators/__init__.py
+++ b/knapweedlead/operators/__init__.py
@@ -3,6 +3,7 @@
 from knapweedlead.operators._api import OperatorApi
 from knapweedlead.operators._changes import ChangeFeed, ChangeRecord
 from knapweedlead.operators._role import OperatorsRole, PublishCatalogue
+from knapweedlead.operators._tables import render_table
 
 __all__ = [
     "ChangeFeed",
@@ -10,4 +11,5 @@
     "OperatorApi",
     "OperatorsRole",
     "PublishCatalogue",
+    "render_table",
 ]
--- a/knapweedlead/settings/__init__.py
+++ b/knapweedlead/settings/__init__.py
@@ -2,6 +2,7 @@
 
 from knapweedlead.settings._loader import build_settings, load_settings
 from knapweedlead.settings._schema import (
+    Address,
     AdmissionSettings,
     BackendServerSettings,
     DaemonSettings,
@@ -11,6 +12,7 @@
 )
 
 __all__ = [
+    "Address",
     "AdmissionSettings",
     "BackendServerSettings",
     "DaemonSettings",
--- a/knapweedlead/settings/_loader.py
+++ b/knapweedlead/settings/_loader.py
@@ -78,7 +78,7 @@
     if not constraint.accepts(value):
         found = "a secret" if name in _SECRET_FIELDS else repr(value)
         return _refuse(path, prefix + name, constraint.describe(), found)
-    return Ok(value)
+    return Ok(tuple(value) if isinstance(value, list) else value)
 
 
 def _build_items(
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -17,6 +17,8 @@
 FLEET_SECRET = "fleet-secret-of-the-standins"
 OPERATOR_CREDENTIAL = "operator-credential-of-the-standins"
 
+_ROOT = str(Path(__file__).resolve().parent.parent)
+
 START_TIMEOUT = 20.0
 """Seconds that a process may take until it listens."""
 _POLL_SECONDS = 0.05
@@ -83,6 +85,7 @@
     def __init__(self, directory: str = "") -> None:
         self.directory = Path(directory or tempfile.mkdtemp(prefix="knapweedlead-"))
         self.store_address = free_address()
+        self.operator_credential = OPERATOR_CREDENTIAL
         self.by_name: dict[str, FleetServer] = {}
         self._processes: list[subprocess.Popen[bytes]] = []
 
@@ -102,14 +105,47 @@
             process.wait()
 
     def add(
-        self, name: str, service: str, data_centre: str, **behaviour: Any
+        self,
+        name: str,
+        service: str,
+        data_centre: str,
+        region: str = "region-1",
+        connections: int = 1000,
+        **behaviour: Any,
     ) -> FleetServer:
-        """Start a backend server stand-in with a daemon beside it."""
-        slots = behaviour.get("slots", 16)
+        """Start a backend server stand-in with a daemon beside it.
+
+        Parameters
+        ----------
+        name, service, data_centre, region : str
+            Where the server runs.
+        connections : int
+            Connections that the backend server accepts.
+        **behaviour
+            Fields of the stand-in's `Behaviour`.
+        """
+        server = self.prepare(
+            name, service, data_centre, region, connections, **behaviour
+        )
+        self.start_backend_server(server)
+        self.start_daemon(server)
+        self.wait_for(server)
+        return server
+
+    def prepare(
+        self,
+        name: str,
+        service: str,
+        data_centre: str,
+        region: str,
+        connections: int,
+        **behaviour: Any,
+    ) -> FleetServer:
+        """Register a server without starting it; parameters as in `add`."""
         settings = {
             "name": name,
             "instance": f"instance-{name}",
-            "region": "region-1",
+            "region": region,
             "data_centre": data_centre,
             "service": service,
             "link_address": free_address(),
@@ -119,19 +155,24 @@
             "operator_credential": OPERATOR_CREDENTIAL,
             "backend_server": {
                 "address": free_address(),
-                "slots": slots,
+                "slots": behaviour.get("slots", 16),
                 "cold_slots": behaviour.get("cold_slots", 4),
                 "cold_start_s": behaviour.get("cold_s", 0.0),
-                "connections": 1000,
+                "connections": connections,
             },
             "store": {"address": self.store_address},
         }
         server = FleetServer(name, settings, behaviour)
         self.by_name[name] = server
-        self.start_backend_server(server)
-        self.start_daemon(server)
         return server
 
+    def wait_for(self, server: FleetServer) -> None:
+        """Wait until a server and its daemon listen."""
+        assert server.backend_server is not None
+        assert server.daemon is not None
+        wait_until_listening(server.backend_server_address, server.backend_server)
+        wait_until_listening(server.caller_address, server.daemon)
+
     def start_backend_server(self, server: FleetServer) -> None:
         """Start the stand-in of a server."""
         server.backend_server = self._start(
@@ -142,7 +183,6 @@
             server.name,
             f"--behaviour={json.dumps(server.behaviour)}",
         )
-        wait_until_listening(server.backend_server_address, server.backend_server)
 
     def start_daemon(self, server: FleetServer) -> None:
         """Start the daemon of a server."""
@@ -151,7 +191,23 @@
         server.daemon = self._start(
             server.name, "knapweedlead.daemon.main", f"--settings={path}"
         )
-        wait_until_listening(server.caller_address, server.daemon)
+
+    def operate(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Run ``knapweedleadctl`` against the daemons and return what it printed."""
+        addresses = ",".join(s.operator_address for s in self.by_name.values())
+        return subprocess.run(
+            [sys.executable, "-m", "knapweedlead.operators.main", *arguments],
+            capture_output=True,
+            text=True,
+            timeout=60,
+            cwd=_ROOT,
+            env={
+                **os.environ,
+                "PYTHONPATH": _ROOT,
+                "KNAPWEEDLEAD_OPERATOR_ADDRESS": addresses,
+                "KNAPWEEDLEAD_OPERATOR_CREDENTIAL": OPERATOR_CREDENTIAL,
+            },
+        )
 
     def log_of(self, name: str) -> str:
         """Return what a process has logged."""
@@ -159,13 +215,12 @@
 
     def _start(self, name: str, module: str, *arguments: str) -> Any:
         log = (self.directory / f"{name}.log").open("ab")
-        root = str(Path(__file__).resolve().parent.parent)
         process = subprocess.Popen(
             [sys.executable, "-m", module, *arguments],
             stdout=log,
             stderr=log,
-            cwd=root,
-            env={**os.environ, "PYTHONPATH": root},
+            cwd=_ROOT,
+            env={**os.environ, "PYTHONPATH": _ROOT},
         )
         log.close()
         self._processes.append(process)
