--- /dev/null
+++ b/knapweedlead/operators/tests/test_tables.py
@@ -0,0 +1,30 @@
+"""Tables shown to operators."""
+
+from knapweedlead.operators._tables import render_resources, render_status
+
+
+def member(name, revision, **more):
+    return {
+        "name": name,
+        "service": "wear",
+        "data_centre": "boston",
+        "state": "alive",
+        "revision": revision,
+        **more,
+    }
+
+
+def test_status_says_on_how_many_members_the_revision_is_in_force():
+    members = [member("wear-1", 7), member("wear-2", 6, is_cold=True)]
+    text = render_status({"revision": 7, "members": members})
+    assert "revision 7 in force on 1 of 2 members" in text
+    assert "cold" in text.splitlines()[-1]
+
+
+def test_resources_of_one_kind_share_a_table():
+    text = render_resources([{"name": "a", "version": 1}, {"name": "b", "x": 2}])
+    assert text.splitlines()[0].split() == ["name", "version", "x"]
+
+
+def test_no_resources_read_as_none():
+    assert render_resources([]) == "none"
