Answer operators' requests by one compare-and-swap of the catalogue

Cause: nothing handled OperatorCallReceived, and the catalogue kept no version of a resource. Change: OperatorRole reads the document, decides, writes with compare-and-swap; conflicts are decided anew, lost answers read back before a second try, the last 512 changes are remembered by id. The document is compressed from 4096 bytes and refused above the store's megabyte. Before: no reply; the tests in test_operators.py had nothing to import.

--- a/knapweedlead/configuration/__init__.py
+++ b/knapweedlead/configuration/__init__.py
@@ -1,6 +1,7 @@
 """Operators' resources, their revisions and how they spread."""
 
-from knapweedlead.configuration._catalogue import Catalogue, parse_catalogue
+from knapweedlead.configuration._catalogue import AcceptedChange, Catalogue
+from knapweedlead.configuration._document import parse_catalogue, serialize_catalogue
 from knapweedlead.configuration._operations import (
     ApplyResource,
     DeleteResource,
@@ -9,6 +10,7 @@
     ListResources,
     OperatorReply,
 )
+from knapweedlead.configuration._operator_role import OperatorRole
 from knapweedlead.configuration._resources import (
     KINDS,
     BackendServer,
@@ -24,6 +26,7 @@
 
 __all__ = [
     "KINDS",
+    "AcceptedChange",
     "ApplyResource",
     "BackendServer",
     "Catalogue",
@@ -37,9 +40,11 @@
     "Key",
     "ListResources",
     "OperatorReply",
+    "OperatorRole",
     "Resource",
     "Route",
     "Service",
     "check_resource",
     "parse_catalogue",
+    "serialize_catalogue",
 ]
--- a/knapweedlead/configuration/_catalogue.py
+++ b/knapweedlead/configuration/_catalogue.py
@@ -1,14 +1,11 @@
 """All resources at one revision."""
 
-import json
 from functools import cached_property
 from typing import Any
 
 import attrs
-from result import Err, Ok, Result
 
 from knapweedlead.configuration._resources import (
-    KINDS,
     BackendServer,
     ClientAccount,
     DataCentre,
@@ -16,9 +13,30 @@
     Resource,
     Route,
     Service,
-    check_resource,
 )
-from knapweedlead.errors import ResourceError
+
+
+@attrs.frozen
+class AcceptedChange:
+    """A change of one resource that the store accepted.
+
+    Parameters
+    ----------
+    revision : int
+        Revision that the change made.
+    change_id : str
+        Name that the operator gave to the change.
+    kind, name : str
+        The resource concerned.
+    digest : str
+        Digest of the content; empty for a deletion.
+    """
+
+    revision: int
+    change_id: str
+    kind: str
+    name: str
+    digest: str
 
 
 @attrs.frozen(slots=False)
@@ -31,10 +49,16 @@
         Rises by one with each accepted change.
     by_kind : dict of str to dict of str to Resource
         Resources by kind and name.
+    version_by_name : dict of str to dict of str to int
+        Revision of each resource's last change, by kind and name.
+    changes : tuple of AcceptedChange
+        The last changes, oldest first.
     """
 
     revision: int
     by_kind: dict[str, dict[str, Resource]]
+    version_by_name: dict[str, dict[str, int]] = attrs.field(factory=dict)
+    changes: tuple[AcceptedChange, ...] = ()
 
     @cached_property
     def client_accounts(self) -> dict[str, ClientAccount]:
@@ -91,31 +115,12 @@
     def _of(self, kind: str) -> Any:
         return self.by_kind.get(kind, {})
 
-    def to_document(self) -> dict[str, Any]:
-        """Return the catalogue as a JSON-compatible document."""
-        return {
-            "revision": self.revision,
-            "resources": {
-                kind: [attrs.asdict(resource) for resource in by_name.values()]
-                for kind, by_name in self.by_kind.items()
-            },
-        }
-
-
-def parse_catalogue(data: bytes) -> Result[Catalogue, ResourceError]:
-    """Build a catalogue from the JSON bytes of `Catalogue.to_document`."""
-    try:
-        document = json.loads(data)
-        revision = document["revision"]
-        resources = document["resources"]
-    except (ValueError, KeyError, TypeError) as error:
-        detail = f"not a catalogue: {type(error).__name__}"
-        return Err(ResourceError("configuration.parse", "catalogue", detail))
-    by_kind: dict[str, dict[str, Resource]] = {kind: {} for kind in KINDS}
-    for kind, items in resources.items():
-        for item in items:
-            checked = check_resource(kind, item)
-            if isinstance(checked, Err):
-                return checked
-            by_kind[kind][checked.ok_value.name] = checked.ok_value
-    return Ok(Catalogue(revision, by_kind))
+    def resource(self, kind: str, name: str) -> Resource | None:
+        """Return one resource, or None where there is none of that name."""
+        return self.by_kind.get(kind, {}).get(name)
+
+    def version_of(self, kind: str, name: str) -> int:
+        """Return the revision of a resource's last change; 0 where it is missing."""
+        if name not in self.by_kind.get(kind, {}):
+            return 0
+        return self.version_by_name.get(kind, {}).get(name, self.revision)
--- /dev/null
+++ b/knapweedlead/configuration/_change.py
@@ -0,0 +1,189 @@
+"""Deciding on a change of one resource against a catalogue."""
+
+import hashlib
+import json
+from collections import Counter
+from collections.abc import Iterator
+
+import attrs
+from result import Err, Ok, Result
+
+from knapweedlead.configuration._catalogue import AcceptedChange, Catalogue
+from knapweedlead.configuration._resources import Resource
+
+MAX_CHANGES = 512
+"""Changes that a catalogue remembers."""
+
+_DIGEST_LENGTH = 16
+
+
+@attrs.frozen
+class Change:
+    """A checked change of one resource, by its operator.
+
+    Parameters
+    ----------
+    change_id : str
+        Names the change; the same id sent again is recognized.
+    kind, name : str
+        Which resource.
+    resource : Resource or None
+        New content; None deletes.
+    expected_version : int or None
+        Version that is to be replaced; 0 where the resource must not exist;
+        None replaces any.
+    """
+
+    change_id: str
+    kind: str
+    name: str
+    resource: Resource | None
+    expected_version: int | None
+
+    @property
+    def digest(self) -> str:
+        """Digest of the content; empty for a deletion."""
+        if self.resource is None:
+            return ""
+        content = json.dumps(attrs.asdict(self.resource), sort_keys=True)
+        return hashlib.sha256(content.encode()).hexdigest()[:_DIGEST_LENGTH]
+
+
+@attrs.frozen
+class Refusal:
+    """Why a change was not made.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    reason : str
+        Short name from a closed list.
+    detail : str
+        What was expected and found.
+    version : int or None
+        Current version of the resource, where it matters.
+    field : str
+        Field of the document; empty where the whole is meant.
+    """
+
+    status: int
+    reason: str
+    detail: str
+    version: int | None = None
+    field: str = ""
+
+
+def accepted_before(
+    catalogue: Catalogue, change: Change
+) -> Result[AcceptedChange | None, Refusal]:
+    """Return the record of an earlier acceptance of the same change, if any.
+
+    Returns
+    -------
+    Result
+        The record or None; a refusal where the id names another change.
+    """
+    same_id = (
+        c for c in reversed(catalogue.changes) if c.change_id == change.change_id
+    )
+    record = next(same_id, None)
+    if record is None:
+        return Ok(None)
+    made = (record.kind, record.name, record.digest)
+    if made != (change.kind, change.name, change.digest):
+        detail = f"change id {change.change_id!r} named another change before"
+        return Err(Refusal(422, "change_id_reused", detail))
+    return Ok(record)
+
+
+def make_change(catalogue: Catalogue, change: Change) -> Result[Catalogue, Refusal]:
+    """Return the catalogue after a change, or why it is refused whole."""
+    current = catalogue.version_of(change.kind, change.name)
+    expected = change.expected_version
+    if expected is not None and expected != current:
+        detail = f"expected version {expected}, found {current}"
+        return Err(Refusal(412, "version_conflict", detail, current))
+    if change.resource is None and current == 0:
+        detail = f"no {change.kind} named {change.name!r}"
+        return Err(Refusal(404, "not_found", detail))
+    changed = _with_change(catalogue, change)
+    new_problems = Counter(problems_of(changed)) - Counter(problems_of(catalogue))
+    if new_problems:
+        detail = "; ".join(sorted(new_problems))
+        return Err(Refusal(409, "inconsistent", detail, current))
+    return Ok(changed)
+
+
+def _with_change(catalogue: Catalogue, change: Change) -> Catalogue:
+    revision = catalogue.revision + 1
+    record = AcceptedChange(
+        revision, change.change_id, change.kind, change.name, change.digest
+    )
+    changes = (*catalogue.changes, record)[-MAX_CHANGES:]
+    content_by_key = {(change.kind, change.name): change.resource}
+    return replace_resources(catalogue, content_by_key, changes)
+
+
+def replace_resources(
+    catalogue: Catalogue,
+    content_by_key: dict[tuple[str, str], Resource | None],
+    changes: tuple[AcceptedChange, ...],
+) -> Catalogue:
+    """Return the catalogue at the revision of the last of `changes`.
+
+    Parameters
+    ----------
+    catalogue : Catalogue
+        The catalogue before.
+    content_by_key : dict of (str, str) to Resource or None
+        New content by kind and name; None deletes.
+    changes : tuple of AcceptedChange
+        Changes that the new catalogue remembers; not empty.
+    """
+    by_kind = dict(catalogue.by_kind)
+    versions = dict(catalogue.version_by_name)
+    for kind in {kind for kind, _ in content_by_key}:
+        by_kind[kind] = dict(by_kind.get(kind, {}))
+        versions[kind] = {
+            name: catalogue.version_of(kind, name) for name in by_kind[kind]
+        }
+    revision_by_key = {(c.kind, c.name): c.revision for c in changes}
+    for (kind, name), resource in content_by_key.items():
+        if resource is None:
+            by_kind[kind].pop(name, None)
+            versions[kind].pop(name, None)
+        else:
+            by_kind[kind][name] = resource
+            versions[kind][name] = revision_by_key[kind, name]
+    return Catalogue(changes[-1].revision, by_kind, versions, changes)
+
+
+def problems_of(catalogue: Catalogue) -> Iterator[str]:
+    """Return what does not fit together in a catalogue."""
+    yield from _problems_of_keys(catalogue)
+    yield from _problems_of_routes(catalogue)
+
+
+def _problems_of_keys(catalogue: Catalogue) -> Iterator[str]:
+    keys = catalogue.by_kind.get("keys", {}).values()
+    for key in keys:
+        account = getattr(key, "client_account", "")
+        if account not in catalogue.client_accounts:
+            yield f"key {key.name!r} names the unknown client account {account!r}"
+    count_by_digest = Counter(getattr(key, "sha256", "") for key in keys)
+    for digest, count in count_by_digest.items():
+        if count > 1:
+            yield f"{count} keys have the digest {digest}"
+
+
+def _problems_of_routes(catalogue: Catalogue) -> Iterator[str]:
+    routes = catalogue.by_kind.get("routes", {}).values()
+    for route in routes:
+        service = getattr(route, "service", "")
+        if service not in catalogue.services:
+            yield f"route {route.name!r} leads to the unknown service {service!r}"
+    count_by_prefix = Counter(getattr(route, "path_prefix", "") for route in routes)
+    for prefix, count in count_by_prefix.items():
+        if count > 1:
+            yield f"{count} routes have the path prefix {prefix!r}"
--- /dev/null
+++ b/knapweedlead/configuration/_document.py
@@ -0,0 +1,85 @@
+"""The catalogue as bytes: the one document that the store holds."""
+
+import json
+import zlib
+from typing import Any
+
+import attrs
+from result import Err, Ok, Result
+
+from knapweedlead.configuration._catalogue import AcceptedChange, Catalogue
+from knapweedlead.configuration._resources import KINDS, Resource, check_resource
+from knapweedlead.errors import ResourceError
+
+COMPRESSED_FROM_BYTES = 4096
+"""Size from which the document is compressed."""
+
+MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
+"""Bound on the size of a document after decompression."""
+
+_JSON_START = b"{"
+
+
+def serialize_catalogue(catalogue: Catalogue) -> bytes:
+    """Return the bytes of a catalogue, compressed where they are many."""
+    document = {
+        "revision": catalogue.revision,
+        "resources": {
+            kind: [attrs.asdict(resource) for resource in by_name.values()]
+            for kind, by_name in catalogue.by_kind.items()
+        },
+        "versions": {
+            kind: {name: catalogue.version_of(kind, name) for name in by_name}
+            for kind, by_name in catalogue.by_kind.items()
+        },
+        "changes": [attrs.astuple(change) for change in catalogue.changes],
+    }
+    return dump_document(document)
+
+
+def parse_catalogue(data: bytes) -> Result[Catalogue, ResourceError]:
+    """Build a catalogue from the bytes of `serialize_catalogue`.
+
+    A document without versions gives each resource the document's revision.
+    """
+    try:
+        return _catalogue_of(load_document(data))
+    except (ValueError, KeyError, TypeError, AttributeError, zlib.error) as error:
+        detail = f"not a catalogue: {type(error).__name__}"
+        return Err(ResourceError("configuration.parse", "catalogue", detail))
+
+
+def dump_document(document: Any) -> bytes:
+    """Return a document as JSON, compressed from `COMPRESSED_FROM_BYTES`."""
+    data = json.dumps(document, separators=(",", ":")).encode()
+    return zlib.compress(data) if len(data) >= COMPRESSED_FROM_BYTES else data
+
+
+def load_document(data: bytes) -> Any:
+    """Return the document of `dump_document`; raises ValueError or zlib.error."""
+    if not data.startswith(_JSON_START):
+        decompressor = zlib.decompressobj()
+        data = decompressor.decompress(data, MAX_DOCUMENT_BYTES)
+        if not decompressor.eof:
+            raise ValueError(f"expected at most {MAX_DOCUMENT_BYTES} bytes")
+    return json.loads(data)
+
+
+def _catalogue_of(document: Any) -> Result[Catalogue, ResourceError]:
+    revision = document["revision"]
+    if type(revision) is not int:
+        raise TypeError("expected an integer revision")
+    by_kind: dict[str, dict[str, Resource]] = {kind: {} for kind in KINDS}
+    for kind, items in document["resources"].items():
+        for item in items:
+            checked = check_resource(kind, item)
+            if isinstance(checked, Err):
+                return checked
+            by_kind[kind][checked.ok_value.name] = checked.ok_value
+    versions = document.get("versions", {})
+    version_by_name = {
+        kind: {name: int(versions.get(kind, {}).get(name, revision)) for name in items}
+        for kind, items in by_kind.items()
+    }
+    changes = tuple(AcceptedChange(*change) for change in document.get("changes", ()))
+    return Ok(Catalogue(revision, by_kind, version_by_name, changes))
--- /dev/null
+++ b/knapweedlead/configuration/_operator_role.py
@@ -0,0 +1,242 @@
+"""Role that answers operators' requests."""
+
+import heapq
+import itertools
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any
+
+from result import Err
+
+from knapweedlead.configuration._change import Change
+from knapweedlead.configuration._operations import (
+    ApplyResource,
+    DeleteResource,
+    GetResource,
+    GetStatus,
+    ListResources,
+    OperatorReply,
+)
+from knapweedlead.configuration._pending_change import PendingChange
+from knapweedlead.configuration._replies import (
+    NOT_APPLIED,
+    invalid_reply,
+    list_reply,
+    not_found_reply,
+    resource_reply,
+    unavailable_reply,
+)
+from knapweedlead.configuration._resources import KINDS, check_resource
+from knapweedlead.configuration._role import ConfigurationRole
+from knapweedlead.membership import MembershipRole
+from knapweedlead.node import (
+    Effect,
+    Identity,
+    OperatorCallReceived,
+    ReplyToOperator,
+    Role,
+    StoreAnswered,
+    StoreCall,
+    StoreCalls,
+    Tick,
+    WakeAt,
+    handles,
+)
+from knapweedlead.platform import Entry, StoreOperation
+
+CHANGE_SECONDS = 5.0
+"""Seconds for which a change is tried while the store cannot be reached."""
+
+Handler = Callable[[int, Any, float], Iterable[Effect]]
+
+
+class OperatorRole(Role):
+    """Reads and changes resources on behalf of operators.
+
+    Parameters
+    ----------
+    identity : Identity
+        Who this daemon is.
+    configuration : ConfigurationRole
+        Holds the catalogue in force, and takes up accepted changes.
+    membership : MembershipRole
+        Knows the members and the revisions in force on them.
+    store_calls : StoreCalls
+        Allots numbers to store calls.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        configuration: ConfigurationRole,
+        membership: MembershipRole,
+        store_calls: StoreCalls,
+    ) -> None:
+        self.identity = identity
+        self.configuration = configuration
+        self.membership = membership
+        self.store_calls = store_calls
+        self._pending_by_call: dict[int, PendingChange] = {}
+        self._called_at: dict[int, float] = {}
+        self._retries: list[tuple[float, int, PendingChange]] = []
+        self._order = itertools.count()
+        self._handler_by_request: dict[type, Handler] = {
+            ListResources: self._list,
+            GetResource: self._get,
+            GetStatus: self._status,
+            ApplyResource: self._apply,
+            DeleteResource: self._delete,
+        }
+
+    @handles(OperatorCallReceived)
+    def on_operator_call(
+        self, event: OperatorCallReceived, now: float
+    ) -> Iterable[Effect]:
+        """Answer a request, or start the change that it asks for."""
+        handler = self._handler_by_request[type(event.request)]
+        return handler(event.exchange, event.request, now)
+
+    def _list(
+        self, exchange: int, request: ListResources, now: float
+    ) -> Iterator[Effect]:
+        catalogue = self.configuration.catalogue
+        if request.kind not in KINDS:
+            yield ReplyToOperator(exchange, not_found_reply(request.kind))
+        elif catalogue is None:
+            yield ReplyToOperator(exchange, _unknown_catalogue())
+        else:
+            yield ReplyToOperator(exchange, list_reply(catalogue, request.kind))
+
+    def _get(self, exchange: int, request: GetResource, now: float) -> Iterator[Effect]:
+        yield ReplyToOperator(exchange, self._shown(request.kind, request.name))
+
+    def _shown(self, kind: str, name: str) -> OperatorReply:
+        catalogue = self.configuration.catalogue
+        if kind not in KINDS:
+            return not_found_reply(kind)
+        if catalogue is None:
+            return _unknown_catalogue()
+        resource = catalogue.resource(kind, name)
+        if resource is None:
+            return not_found_reply(kind, name)
+        version = catalogue.version_of(kind, name)
+        return resource_reply(resource, version, catalogue.revision)
+
+    def _status(
+        self, exchange: int, request: GetStatus, now: float
+    ) -> Iterator[Effect]:
+        members = sorted(self.membership.by_name.values(), key=lambda m: m.name)
+        revision_of = self.membership.revision_of
+        running = [m for m in members if m.state in self.membership.RUNNING_STATES]
+        in_force_on = Counter(str(revision_of(member.name)) for member in running)
+        document = {
+            "revision": self.configuration.revision,
+            "members": [
+                {
+                    "name": member.name,
+                    "service": member.service,
+                    "data_centre": member.data_centre,
+                    "region": member.region,
+                    "state": member.state,
+                    "revision": revision_of(member.name),
+                }
+                for member in members
+            ],
+            "in_force_on": dict(in_force_on),
+        }
+        yield ReplyToOperator(exchange, OperatorReply(200, document))
+
+    def _apply(
+        self, exchange: int, request: ApplyResource, now: float
+    ) -> Iterator[Effect]:
+        if request.kind not in KINDS:
+            yield ReplyToOperator(exchange, not_found_reply(request.kind))
+            return
+        document = request.document
+        if isinstance(document, dict):
+            document = {"name": request.name, **document}
+        checked = check_resource(request.kind, document, request.name)
+        if isinstance(checked, Err):
+            yield ReplyToOperator(exchange, invalid_reply(checked.err_value))
+            return
+        yield from self._begin(exchange, request, checked.ok_value, now)
+
+    def _delete(
+        self, exchange: int, request: DeleteResource, now: float
+    ) -> Iterator[Effect]:
+        if request.kind not in KINDS:
+            yield ReplyToOperator(exchange, not_found_reply(request.kind))
+            return
+        yield from self._begin(exchange, request, None, now)
+
+    def _begin(
+        self, exchange: int, request: Any, resource: Any, now: float
+    ) -> Iterator[Effect]:
+        identity = self.identity
+        own_id = f"{identity.name}/{identity.incarnation}/{exchange}"
+        change = Change(
+            request.change_id or own_id,
+            request.kind,
+            request.name,
+            resource,
+            request.expected_version,
+        )
+        pending = PendingChange(exchange, change, now + CHANGE_SECONDS)
+        yield self._call(pending, pending.read(), now)
+
+    def _call(
+        self, pending: PendingChange, operation: StoreOperation, now: float
+    ) -> Effect:
+        call = self.store_calls.next()
+        self._pending_by_call[call] = pending
+        self._called_at[call] = now
+        return StoreCall(call, operation)
+
+    @handles(StoreAnswered)
+    def on_store_answered(self, event: StoreAnswered, now: float) -> Iterator[Effect]:
+        """Take the next step of the change that waits for the answer."""
+        pending = self._pending_by_call.pop(event.call, None)
+        if pending is None:
+            return
+        called_at = self._called_at.pop(event.call)
+        if isinstance(event.result, Err):
+            yield from self._on_failed(pending, event.result.err_value, now)
+            return
+        answer = event.result.ok_value
+        step: StoreOperation | OperatorReply
+        step = (
+            pending.on_read(answer)
+            if isinstance(answer, Entry)
+            else (pending.on_written())
+        )
+        if isinstance(step, StoreOperation):
+            yield self._call(pending, step, now)
+            return
+        if pending.written is not None:
+            yield from self.configuration.take_up(pending.written, called_at, now)
+        yield ReplyToOperator(pending.exchange, step)
+
+    def _on_failed(
+        self, pending: PendingChange, error: Any, now: float
+    ) -> Iterator[Effect]:
+        decided = pending.on_failed(error, now)
+        if isinstance(decided, Err):
+            yield ReplyToOperator(pending.exchange, decided.err_value)
+            return
+        retry_at = now + decided.ok_value
+        if retry_at <= now:
+            yield self._call(pending, pending.read(), now)
+            return
+        heapq.heappush(self._retries, (retry_at, next(self._order), pending))
+        yield WakeAt(retry_at)
+
+    @handles(Tick)
+    def on_tick(self, event: Tick, now: float) -> Iterator[Effect]:
+        """Read again for the changes whose retry is due."""
+        while self._retries and self._retries[0][0] <= now:
+            _, _, pending = heapq.heappop(self._retries)
+            yield self._call(pending, pending.read(), now)
+
+
+def _unknown_catalogue() -> OperatorReply:
+    return unavailable_reply("no revision is known yet", NOT_APPLIED)
--- /dev/null
+++ b/knapweedlead/configuration/_pending_change.py
@@ -0,0 +1,113 @@
+"""The course of one change through the store."""
+
+import attrs
+from result import Err, Ok
+
+from knapweedlead.configuration._catalogue import Catalogue
+from knapweedlead.configuration._change import (
+    Change,
+    Refusal,
+    accepted_before,
+    make_change,
+)
+from knapweedlead.configuration._document import parse_catalogue, serialize_catalogue
+from knapweedlead.configuration._operations import OperatorReply
+from knapweedlead.configuration._replies import (
+    NOT_APPLIED,
+    UNKNOWN,
+    invalid_reply,
+    refusal_reply,
+    resource_reply,
+    unavailable_reply,
+)
+from knapweedlead.errors import StoreError, StoreFault
+from knapweedlead.platform import CompareAndSwap, Entry, Get, StoreOperation
+
+CATALOGUE_KEY = "knapweedlead/catalogue"
+
+MAX_VALUE_BYTES = 1024 * 1024
+"""Largest value that the store holds."""
+
+
+@attrs.define(eq=False)
+class PendingChange:
+    """Reads the catalogue, writes the changed one, and reads back lost answers.
+
+    Parameters
+    ----------
+    exchange : int
+        Operator's exchange that waits for the reply.
+    change : Change
+        What the operator wants.
+    deadline : float
+        Time at which the operator gets an answer in any case, in seconds.
+    written : Catalogue or None
+        What the last write would make the store hold.
+    may_have_written : bool
+        Whether the answer of an earlier write was lost.
+    """
+
+    exchange: int
+    change: Change
+    deadline: float
+    written: Catalogue | None = None
+    may_have_written: bool = False
+
+    def read(self) -> StoreOperation:
+        """Return the operation that reads the present catalogue."""
+        self.written = None
+        return Get(CATALOGUE_KEY)
+
+    def on_read(self, entry: Entry) -> StoreOperation | OperatorReply:
+        """Return the write that makes the change, or the reply."""
+        catalogue = Catalogue(0, {})
+        if entry.value:
+            parsed = parse_catalogue(entry.value)
+            if isinstance(parsed, Err):
+                return invalid_reply(parsed.err_value)
+            catalogue = parsed.ok_value
+        earlier = accepted_before(catalogue, self.change)
+        if isinstance(earlier, Err):
+            return refusal_reply(earlier.err_value)
+        if earlier.ok_value is not None:
+            self.written = catalogue
+            return self._accepted(earlier.ok_value.revision, catalogue.revision)
+        made = make_change(catalogue, self.change)
+        if isinstance(made, Err):
+            return refusal_reply(made.err_value)
+        return self._write(made.ok_value, entry.revision)
+
+    def _write(
+        self, catalogue: Catalogue, expected: int
+    ) -> StoreOperation | OperatorReply:
+        value = serialize_catalogue(catalogue)
+        if len(value) > MAX_VALUE_BYTES:
+            detail = f"expected at most {MAX_VALUE_BYTES} bytes, found {len(value)}"
+            return refusal_reply(Refusal(409, "catalogue_too_large", detail))
+        self.written = catalogue
+        return CompareAndSwap(CATALOGUE_KEY, value, expected)
+
+    def on_written(self) -> OperatorReply:
+        """Return the reply to a change that the store accepted."""
+        assert self.written is not None
+        return self._accepted(self.written.revision, self.written.revision)
+
+    def _accepted(self, version: int, revision: int) -> OperatorReply:
+        return resource_reply(self.change.resource, version, revision)
+
+    def on_failed(
+        self, error: StoreError, now: float
+    ) -> Ok[float] | Err[OperatorReply]:
+        """Return the seconds until the next read, or the reply that ends it."""
+        is_write = self.written is not None
+        if is_write and error.fault is StoreFault.UNKNOWN_OUTCOME:
+            self.may_have_written = True
+        if now < self.deadline:
+            is_conflict = error.fault is StoreFault.CONFLICT
+            return Ok(0.0 if is_conflict else RETRY_SECONDS)
+        outcome = UNKNOWN if self.may_have_written else NOT_APPLIED
+        return Err(unavailable_reply(str(error), outcome))
+
+
+RETRY_SECONDS = 0.5
+"""Seconds between tries while the store cannot be reached."""
--- a/knapweedlead/configuration/_resources.py
+++ b/knapweedlead/configuration/_resources.py
@@ -203,9 +203,20 @@
 """Resource class by the kind's name in the operator API."""
 
 
-def check_resource(kind: str, document: Any) -> Result[Resource, ResourceError]:
+def check_resource(
+    kind: str, document: Any, name: str | None = None
+) -> Result[Resource, ResourceError]:
     """Build a resource from a decoded JSON document.
 
+    Parameters
+    ----------
+    kind : str
+        A key of `KINDS`.
+    document : object
+        Decoded JSON.
+    name : str or None
+        Name that the document must have; None for any.
+
     Returns
     -------
     Result
@@ -228,9 +239,12 @@
         if not constraint.accepts(value):
             detail = f"expected {constraint.describe()}, found {value!r}"
             return _refuse(kind, field, detail)
-    name = document["name"]
-    if not 0 < len(name) <= MAX_NAME_LENGTH or "/" in name:
-        return _refuse(kind, "name", "expected 1 to 128 characters without '/'")
+    found = document["name"]
+    if not 0 < len(found) <= MAX_NAME_LENGTH or "/" in found:
+        detail = f"expected 1 to 128 characters without '/', found {found!r}"
+        return _refuse(kind, "name", detail)
+    if name is not None and found != name:
+        return _refuse(kind, "name", f"expected {name!r}, found {found!r}")
     return Ok(cls(**document))
 
 
--- a/knapweedlead/configuration/_role.py
+++ b/knapweedlead/configuration/_role.py
@@ -5,7 +5,9 @@
 import attrs
 from result import Err
 
-from knapweedlead.configuration._catalogue import Catalogue, parse_catalogue
+from knapweedlead.configuration._catalogue import Catalogue
+from knapweedlead.configuration._document import parse_catalogue
+from knapweedlead.configuration._pending_change import CATALOGUE_KEY
 from knapweedlead.node import (
     Effect,
     Event,
@@ -21,8 +23,6 @@
 )
 from knapweedlead.platform import Entry, Watch
 
-CATALOGUE_KEY = "knapweedlead/catalogue"
-
 WATCH_SECONDS = 10.0
 RETRY_SECONDS = 0.5
 
@@ -76,19 +76,35 @@
         entry = event.result.ok_value
         assert isinstance(entry, Entry)
         self._store_revision = entry.revision
-        yield from self._apply(entry)
+        yield from self._apply(entry, now)
         yield self._watch()
 
-    def _apply(self, entry: Entry) -> Iterator[Effect]:
+    def _apply(self, entry: Entry, now: float) -> Iterator[Effect]:
         if not entry.value:
             return
         parsed = parse_catalogue(entry.value)
         if isinstance(parsed, Err):
             yield LogEvent("catalogue_refused", (("error", str(parsed.err_value)),))
             return
-        if parsed.ok_value.revision <= self.revision:
+        yield from self.take_up(parsed.ok_value, now, now)
+
+    def take_up(
+        self, catalogue: Catalogue, confirmed_at: float, now: float
+    ) -> Iterator[Effect]:
+        """Put a catalogue in force that the store held, unless a higher one is.
+
+        Parameters
+        ----------
+        catalogue : Catalogue
+            What the store held.
+        confirmed_at : float
+            Time at which it certainly did, in seconds.
+        now : float
+            Present time in seconds.
+        """
+        if catalogue.revision <= self.revision:
             return
-        self.catalogue = parsed.ok_value
+        self.catalogue = catalogue
         yield LogEvent("configuration_applied", (("revision", self.revision),))
         yield Notify(ConfigurationChanged(self.catalogue))
 
--- a/knapweedlead/daemon/_composition.py
+++ b/knapweedlead/daemon/_composition.py
@@ -6,7 +6,7 @@
 
 from knapweedlead.accounts import AccountsRole
 from knapweedlead.calls import EntryRole, GuardRole
-from knapweedlead.configuration import ConfigurationRole
+from knapweedlead.configuration import ConfigurationRole, OperatorRole
 from knapweedlead.membership import MembershipRole
 from knapweedlead.node import Identity, Node, StoreCalls
 from knapweedlead.requests import OnceRole
@@ -65,7 +65,8 @@
     once = OnceRole()
     guard = GuardRole(identity, backend_server.slots, configuration, rng)
     entry = EntryRole(configuration, membership, accounts, once, guard, rng)
-    roles = [configuration, membership, accounts, once, guard, entry]
+    operator = OperatorRole(identity, configuration, membership, store_calls)
+    roles = [configuration, membership, accounts, once, guard, entry, operator]
     return Composition(
         identity=identity,
         node=Node(roles),
--- a/knapweedlead/membership/_role.py
+++ b/knapweedlead/membership/_role.py
@@ -62,6 +62,13 @@
         self._listing = 0
         self._next_refresh = 0.0
 
+    RUNNING_STATES = frozenset({"alive", "suspect", "leaving"})
+    """States of members whose process runs, as far as is known."""
+
+    def revision_of(self, name: str) -> int:
+        """Return the configuration's revision that a member last reported."""
+        return 0
+
     def members_of(self, service: str) -> list[Member]:
         """Return the members of a service that may be sent work."""
         return self._by_service.get(service, [])
--- a/standins/cores.py
+++ b/standins/cores.py
@@ -26,7 +26,9 @@
     LinkUp,
     MessageReceived,
     OpenLink,
+    OperatorCallReceived,
     ReplyToCaller,
+    ReplyToOperator,
     RunAnswered,
     RunFailed,
     RunOnBackendServer,
@@ -123,6 +125,7 @@
     on_reply_by_exchange: dict[int, Callable[[CallerReply], None]] = attrs.field(
         factory=dict
     )
+    reply_by_operator_exchange: dict[int, Any] = attrs.field(factory=dict)
     other_effects: list[Effect] = attrs.field(factory=list)
 
     @property
@@ -289,6 +292,12 @@
         self.report(core, event)
         return reply
 
+    def operate(self, name: str, request: Any) -> int:
+        """Send an operator's request; its reply comes under the exchange returned."""
+        exchange = next(self._exchanges)
+        self.report(self.by_name[name], OperatorCallReceived(exchange, request))
+        return exchange
+
     def hang_up(self, name: str, reply: CallerReply) -> None:
         """Close a caller's connection before its reply."""
         core = self.by_name[name]
@@ -317,6 +326,8 @@
                 self._open_link(core, effect.peer)
             case ReplyToCaller():
                 self._reply(core, effect)
+            case ReplyToOperator(exchange, reply):
+                core.reply_by_operator_exchange[exchange] = reply
             case RunOnBackendServer():
                 self._run(core, effect)
             case CancelRun():
