--- a/knapweedlead/daemon/_composition.py
+++ b/knapweedlead/daemon/_composition.py
@@ -6,10 +6,10 @@
 
 from knapweedlead.accounts import AccountsRole
 from knapweedlead.calls import EntryRole, GuardRole
-from knapweedlead.configuration import ConfigurationRole
+from knapweedlead.configuration import ConfigurationRole, OperatorRole
 from knapweedlead.membership import MembershipRole
 from knapweedlead.node import Identity, Node, StoreCalls
-from knapweedlead.operators import OperatorsRole
+from knapweedlead.operators import CatalogueFeedRole
 from knapweedlead.requests import OnceRole
 from knapweedlead.settings import DaemonSettings
 
@@ -66,6 +66,7 @@
     once = OnceRole()
     guard = GuardRole(identity, backend_server.slots, configuration, rng)
     entry = EntryRole(configuration, membership, accounts, once, guard, rng)
+    operator = OperatorRole(identity, configuration, membership, store_calls)
     roles = [
         configuration,
         membership,
@@ -73,7 +74,8 @@
         once,
         guard,
         entry,
-        OperatorsRole(),
+        operator,
+        CatalogueFeedRole(),
     ]
     return Composition(
         identity=identity,
--- a/knapweedlead/operators/_role.py
+++ b/knapweedlead/operators/_role.py
@@ -15,7 +15,7 @@
     catalogue: Catalogue
 
 
-class OperatorsRole(Role):
+class CatalogueFeedRole(Role):
     """Publishes the catalogues that come into force on this daemon."""
 
     @handles(ConfigurationChanged)
