Links on websockets' Sans-I/O protocol, one for each pair of daemons

Cause: the task-per-connection API wakes a reader and a writer task for each message, and each pair of daemons held two links, one in each direction. Ruled out: frames of our own; the Sans-I/O protocol costs 2 to 6 us a frame. Change: an asyncio protocol feeds websockets' Sans-I/O protocol, messages are written in the turn that sends them, and a link that a proved peer opened carries messages both ways. Both sides opening at once settle on one connection without loss. Waiting messages are bounded in count and bytes, connections without a proof in count.

--- a/benchmarks/cost/_load.py
+++ b/benchmarks/cost/_load.py
@@ -10,7 +10,7 @@
 
 from knapweedlead.transport import BackendServerClient
 
-MAX_CONNECTIONS = 64
+MAX_CONNECTIONS = 512
 TIMEOUT_SECONDS = 5.0
 
 _DRAIN_SECONDS = 0.5
--- a/benchmarks/cost/_measure.py
+++ b/benchmarks/cost/_measure.py
@@ -69,7 +69,7 @@
     """
     rng = random.Random(seed)
     _load(paths, WARM_RATE, WARM_SECONDS, rng)
-    pids = [paths.entry.daemon.pid, paths.guard.daemon.pid, *paths.relay_pids]
+    pids = [*paths.daemon_pids, *paths.relay_pids]
     before = [processor_seconds(pid) for pid in pids]
     direct, relay, daemons = _load(paths, rate, seconds, rng)
     after = [processor_seconds(pid) for pid in pids]
--- a/benchmarks/cost/_paths.py
+++ b/benchmarks/cost/_paths.py
@@ -107,6 +107,12 @@
             time.sleep(_POLL_SECONDS)
         raise TimeoutError(f"{answer}\n{self.fleet.log_of('front-1')}")
 
+    @property
+    def daemon_pids(self) -> list[int]:
+        """Process ids of entry and guard."""
+        daemons = [self.entry.daemon, self.guard.daemon]
+        return [daemon.pid for daemon in daemons if daemon is not None]
+
     def targets(self) -> list[Target]:
         """Return direct, relayed and daemons' path, in this order."""
         headers = {"authorization": f"Bearer {KEY}"}
--- a/knapweedlead/transport/_links.py
+++ b/knapweedlead/transport/_links.py
@@ -1,64 +1,61 @@
-"""Links between daemons: websockets that carry CBOR messages."""
+"""Links between daemons: websockets that carry CBOR messages both ways."""
 
 import asyncio
-import secrets
 from collections import deque
 from collections.abc import Callable
 from typing import Any
 
 import attrs
-from result import Err
-from websockets.asyncio.client import connect
-from websockets.asyncio.connection import Connection
-from websockets.asyncio.server import Server, serve
-from websockets.exceptions import WebSocketException
 
 from knapweedlead.errors import LinkError
-from knapweedlead.messages import (
-    Challenge,
-    Hello,
-    Message,
-    Welcome,
-    decode_message,
-    encode_message,
-)
-from knapweedlead.messages._codec import MAX_MESSAGE_BYTES
+from knapweedlead.messages import Message, encode_message
 from knapweedlead.node import Identity
 from knapweedlead.transport._addresses import split_address
-from knapweedlead.transport._handshake import (
-    NONCE_BYTES,
-    hello_proof,
-    is_same_proof,
-    welcome_proof,
+from knapweedlead.transport._link_connection import (
+    OPEN_TIMEOUT,
+    AcceptedConnection,
+    LinkConnection,
+    OpenedConnection,
 )
 
-OPEN_TIMEOUT = 3.0
-"""Seconds for connecting and for the handshake."""
 MAX_WAITING_MESSAGES = 4096
 """Messages that wait for a link to be written."""
+MAX_WAITING_BYTES = 16 * 1024 * 1024
+"""Bytes that wait for a link to be written."""
+MAX_UNPROVED_CONNECTIONS = 256
+"""Accepted connections whose other side has not proved the secret."""
 
-_CLOSE_BAD_MESSAGE = 1002
-_CLOSE_REFUSED = 1008
-
-
-class _HandshakeError(Exception):
-    """The other side did not prove the fleet's secret."""
+_CLOSE_SURPLUS = 4000
+_CLOSE_DONE = 1000
 
 
 @attrs.define(eq=False)
 class _Link:
+    """All connections to one peer.
+
+    Attributes
+    ----------
+    current : LinkConnection or None
+        Connection on which messages are written.
+    opening : asyncio.Task or OpenedConnection or None
+        Connection that this daemon is opening.
+    waiting : deque of (Message, bytes)
+        Messages of which nothing was written, with their encoding.
+    """
+
     peer: str
-    waiting: deque[Message] = attrs.field(factory=deque)
-    has_work: asyncio.Event = attrs.field(factory=asyncio.Event)
-    connection: Connection | None = None
-    task: asyncio.Task[None] | None = None
+    current: LinkConnection | None = None
+    opening: Any = None
+    waiting: deque[tuple[Message, bytes]] = attrs.field(factory=deque)
+    waiting_bytes: int = 0
 
 
 class LinkTable:
-    """All links of a daemon, one for each peer and direction of opening.
+    """All links of a daemon, one for each peer, whoever opened it.
 
-    A link that this daemon opened carries its messages and the answers to
-    them; a link that a peer opened carries that peer's.
+    Where both sides open at once, both keep the connection opened by the daemon
+    with the lower link address; the other one is closed by its opener once all
+    messages on it have arrived.
 
     Parameters
     ----------
@@ -96,30 +93,27 @@
         self.on_send_failed = on_send_failed
         self.on_error = on_error
         self._link_by_peer: dict[str, _Link] = {}
-        self._server: Server | None = None
+        self._accepted: set[LinkConnection] = set()
+        self._server: asyncio.Server | None = None
 
     async def start(self, address: str) -> None:
         """Accept links at ``IP:PORT``."""
         host, port = split_address(address)
-        self._server = await serve(
-            self._accept,
-            host,
-            port,
-            compression=None,
-            max_size=MAX_MESSAGE_BYTES,
-            ping_interval=None,
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: AcceptedConnection(self), host, port, backlog=1024
         )
 
     def send(self, peer: str, message: Message) -> None:
-        """Queue a message for a peer, opening a link if there is none."""
+        """Write or queue a message for a peer, opening a link if there is none."""
         link = self._link_by_peer.get(peer)
         if link is None:
             link = self._open(peer)
-        if len(link.waiting) >= MAX_WAITING_MESSAGES:
-            self.on_send_failed(peer, message)
-            return
-        link.waiting.append(message)
-        link.has_work.set()
+        current = link.current
+        if current is not None and current.can_write and not link.waiting:
+            current.send_message(message)
+        else:
+            self._queue(link, message)
 
     def open(self, peer: str) -> None:
         """Open a link if there is none."""
@@ -127,133 +121,160 @@
             self._open(peer)
 
     def close(self, peer: str) -> None:
-        """Close the link to a peer."""
+        """Drop the link to a peer."""
         link = self._link_by_peer.get(peer)
-        if link is not None and link.task is not None:
-            link.task.cancel()
+        if link is None:
+            return
+        if link.opening is not None:
+            link.opening.cancel()
+        if link.current is not None:
+            link.current.abort("closed")
 
     async def stop(self) -> None:
         """Close the listener and all links."""
-        for peer in list(self._link_by_peer):
-            self.close(peer)
         if self._server is not None:
             self._server.close()
+        links = list(self._link_by_peer.values())
+        for link in links:
+            if link.opening is not None:
+                link.opening.cancel()
+            if link.current is not None:
+                link.current.close(_CLOSE_DONE, "stopped")
+        for connection in list(self._accepted):
+            connection.abort("stopped")
+
+    @property
+    def open_links(self) -> int:
+        """Links on which messages can be written."""
+        return sum(link.current is not None for link in self._link_by_peer.values())
+
+    @property
+    def waiting_messages(self) -> int:
+        """Messages that wait to be written, on all links."""
+        return sum(len(link.waiting) for link in self._link_by_peer.values())
 
     def _open(self, peer: str) -> _Link:
-        link = _Link(peer)
-        self._link_by_peer[peer] = link
-        link.task = asyncio.ensure_future(self._run_opened(link))
+        link = self._link_by_peer.setdefault(peer, _Link(peer))
+        link.opening = asyncio.ensure_future(self._connect(link))
         return link
 
-    async def _run_opened(self, link: _Link) -> None:
-        host, port = split_address(link.peer)
+    async def _connect(self, link: _Link) -> None:
+        """Connect and wait until the connection is up or lost."""
+        connection = OpenedConnection(self, link.peer)
         is_refused = False
         try:
+            host, port = split_address(link.peer)
+            loop = asyncio.get_running_loop()
             async with asyncio.timeout(OPEN_TIMEOUT):
-                connection = await connect(
-                    f"ws://{host}:{port}/",
-                    compression=None,
-                    max_size=MAX_MESSAGE_BYTES,
-                    ping_interval=None,
-                    proxy=None,
-                )
-                welcome = await self._introduce(link.peer, connection)
-            self.on_up(link.peer, welcome.name, welcome.incarnation)
-            await self._serve_link(link, connection)
-        except (OSError, TimeoutError, WebSocketException, _HandshakeError) as error:
+                await loop.create_connection(lambda: connection, host, port)
+                await connection.settled.wait()
+        except (OSError, TimeoutError, asyncio.CancelledError) as error:
             is_refused = isinstance(error, ConnectionRefusedError)
             detail = f"{type(error).__name__}: {error}"
             self.on_error(LinkError("link.open", link.peer, detail))
-        finally:
-            self._drop(link, is_refused)
-
-    async def _introduce(self, peer: str, connection: Connection) -> Welcome:
-        challenge = _expect(Challenge, await connection.recv(), peer)
-        nonce = secrets.token_bytes(NONCE_BYTES)
-        identity = self.identity
-        hello = Hello(
-            identity.name, identity.incarnation, identity.link_address, nonce, b""
-        )
-        proof = hello_proof(self.secret, challenge.nonce, hello)
-        await connection.send(encode_message(attrs.evolve(hello, proof=proof)))
-        welcome = _expect(Welcome, await connection.recv(), peer)
-        if not is_same_proof(welcome_proof(self.secret, nonce, welcome), welcome.proof):
-            raise _HandshakeError("wrong proof")
-        return welcome
-
-    async def _accept(self, connection: Connection) -> None:
-        remote = connection.remote_address
-        peer = f"{remote[0]}:{remote[1]}" if remote else "-"
-        try:
-            async with asyncio.timeout(OPEN_TIMEOUT):
-                hello = await self._welcome(peer, connection)
-        except (OSError, TimeoutError, WebSocketException, _HandshakeError) as error:
-            detail = f"{type(error).__name__}: {error}"
-            self.on_error(LinkError("link.accept", peer, detail))
-            await connection.close(_CLOSE_REFUSED, "handshake failed")
+        link.opening = None
+        if not connection.is_up:
+            if connection.transport is not None:
+                connection.transport.abort()
+            self._end_if_unused(link, is_refused)
+
+    def _queue(self, link: _Link, message: Message) -> None:
+        data = encode_message(message)
+        is_full = len(link.waiting) >= MAX_WAITING_MESSAGES
+        if is_full or link.waiting_bytes + len(data) > MAX_WAITING_BYTES:
+            self.on_send_failed(link.peer, message)
             return
-        await self._read(hello.link_address, connection)
-
-    async def _welcome(self, peer: str, connection: Connection) -> Hello:
-        nonce = secrets.token_bytes(NONCE_BYTES)
-        await connection.send(encode_message(Challenge(nonce)))
-        hello = _expect(Hello, await connection.recv(), peer)
-        if not is_same_proof(hello_proof(self.secret, nonce, hello), hello.proof):
-            raise _HandshakeError("wrong proof")
-        welcome = Welcome(self.identity.name, self.identity.incarnation, b"")
-        proof = welcome_proof(self.secret, hello.nonce, welcome)
-        await connection.send(encode_message(attrs.evolve(welcome, proof=proof)))
-        return hello
-
-    async def _serve_link(self, link: _Link, connection: Connection) -> None:
-        link.connection = connection
-        reader = asyncio.ensure_future(self._read(link.peer, connection))
-        writer = asyncio.ensure_future(self._write(link, connection))
-        try:
-            await asyncio.wait([reader, writer], return_when=asyncio.FIRST_COMPLETED)
-        finally:
-            reader.cancel()
-            writer.cancel()
-            connection.transport.abort()
-
-    async def _write(self, link: _Link, connection: Connection) -> None:
-        while True:
-            await link.has_work.wait()
-            link.has_work.clear()
-            while link.waiting:
-                await connection.send(encode_message(link.waiting.popleft()))
-
-    async def _read(self, peer: str, connection: Connection) -> None:
-        try:
-            async for data in connection:
-                decoded = _decode(data, peer)
-                if isinstance(decoded, Err):
-                    self.on_error(decoded.err_value)
-                    await connection.close(_CLOSE_BAD_MESSAGE, "bad message")
-                    return
-                self.on_message(peer, decoded.ok_value)
-        except WebSocketException as error:
-            detail = f"{type(error).__name__}: {error}"
-            self.on_error(LinkError("link.read", peer, detail))
-
-    def _drop(self, link: _Link, is_refused: bool) -> None:
-        if self._link_by_peer.get(link.peer) is link:
-            del self._link_by_peer[link.peer]
-        unsent = list(link.waiting)
+        link.waiting.append((message, data))
+        link.waiting_bytes += len(data)
+
+    def _write_waiting(self, link: _Link) -> None:
+        current = link.current
+        while link.waiting and current is not None and current.can_write:
+            _, data = link.waiting.popleft()
+            link.waiting_bytes -= len(data)
+            current.send(data)
+
+    def connection_accepted(self, connection: LinkConnection) -> None:
+        """Take or refuse a connection whose other side has yet to prove itself."""
+        self._accepted.add(connection)
+        if len(self._accepted) > MAX_UNPROVED_CONNECTIONS:
+            connection.abort("too many connections without a proof")
+
+    def connection_up(self, connection: LinkConnection) -> None:
+        """Take a connection whose other side proved the secret."""
+        self._accepted.discard(connection)
+        link = self._link_by_peer.setdefault(connection.peer, _Link(connection.peer))
+        current = link.current
+        if current is None:
+            self._begin(link, connection)
+        elif connection.incarnation < current.incarnation:
+            connection.is_loss_reported = True
+            connection.abort("older start identity")
+        elif self._is_replaced(current, connection):
+            if current.close_code != _CLOSE_SURPLUS:
+                current.abort("replaced")
+                self._report_loss(current)
+            self._begin(link, connection)
+        else:
+            self._resolve(link, current, connection)
+
+    def _begin(self, link: _Link, connection: LinkConnection) -> None:
+        link.current = connection
+        self.on_up(link.peer, connection.name, connection.incarnation)
+        self._write_waiting(link)
+
+    def _report_loss(self, connection: LinkConnection) -> None:
+        if not connection.is_loss_reported:
+            connection.is_loss_reported = True
+            self.on_down(connection.peer, False)
+
+    def _is_replaced(self, current: LinkConnection, other: LinkConnection) -> bool:
+        is_restarted = current.incarnation != other.incarnation
+        is_same_side = current.opened_by_us == other.opened_by_us
+        return is_restarted or is_same_side or not current.is_open
+
+    def _resolve(
+        self, link: _Link, current: LinkConnection, other: LinkConnection
+    ) -> None:
+        """Choose between two connections that the two sides opened at once."""
+        is_ours_preferred = self.identity.link_address < link.peer
+        if other.opened_by_us == is_ours_preferred:
+            link.current = other
+            current, other = other, current
+            self._write_waiting(link)
+        if other.opened_by_us:
+            other.close(_CLOSE_SURPLUS, "surplus")
+
+    def connection_writable(self, connection: LinkConnection) -> None:
+        """Write what waits for the connection."""
+        link = self._link_by_peer.get(connection.peer)
+        if link is not None and link.current is connection:
+            self._write_waiting(link)
+
+    def connection_closed(self, connection: LinkConnection) -> None:
+        """Remove a connection."""
+        self._accepted.discard(connection)
+        if not connection.is_up:
+            return
+        link = self._link_by_peer.get(connection.peer)
+        is_current = link is not None and link.current is connection
+        if link is not None and is_current:
+            link.current = None
+            if link.opening is None:
+                connection.is_loss_reported = True
+                self._end(link, False)
+        if connection.close_code != _CLOSE_SURPLUS:
+            self._report_loss(connection)
+
+    def _end_if_unused(self, link: _Link, is_refused: bool) -> None:
+        if link.current is None and self._link_by_peer.get(link.peer) is link:
+            self._end(link, is_refused)
+
+    def _end(self, link: _Link, is_refused: bool) -> None:
+        """Report the waiting messages as not written, then the link as down."""
+        self._link_by_peer.pop(link.peer, None)
+        waiting = list(link.waiting)
         link.waiting.clear()
-        for message in unsent:
+        for message, _ in waiting:
             self.on_send_failed(link.peer, message)
         self.on_down(link.peer, is_refused)
-
-
-def _decode(data: str | bytes, peer: str) -> Any:
-    return decode_message(data if isinstance(data, bytes) else b"", peer)
-
-
-def _expect(cls: type, data: str | bytes, peer: str) -> Any:
-    decoded = _decode(data, peer)
-    if isinstance(decoded, Err):
-        raise _HandshakeError(decoded.err_value.detail)
-    if not isinstance(decoded.ok_value, cls):
-        raise _HandshakeError(f"expected {cls.__name__}")
-    return decoded.ok_value
