Guard of small modules over admission policies in registries

Cause: the thin guard had a static limit, one queue in the order of arrival and no cold start; a message repeated on the wire ran again, and a shutdown refused nothing. Change: limiters (none, static, adaptive), queues (fifo, priority_fair) and cold starts (none, step, ramp) as pure code, joined by AdmissionControl; the guard role is split into books, checks, work, answers and start signs.

--- /dev/null
+++ b/knapweedlead/admission/_priority_fair.py
@@ -0,0 +1,158 @@
+"""Queue by priority, weighted fair among client accounts within a priority."""
+
+from collections import deque
+from collections.abc import Callable
+from typing import ClassVar
+
+import attrs
+
+from knapweedlead.admission._calls import IMPORTANT_PRIORITY, QueuedCall
+from knapweedlead.admission._queues import QUEUES
+from knapweedlead.parameters import Constraint
+
+SLOTS_PER_RESERVED = 40
+"""Slots for each of which one is kept free for important calls."""
+
+RESERVE_SECONDS = 30.0
+"""Time after an important call for which the reserve is kept."""
+
+MAX_ACCOUNTS_REMEMBERED = 512
+"""Accounts without waiting calls whose share already used is remembered."""
+
+
+@attrs.define(eq=False)
+class _AccountQueue:
+    """Waiting calls of one account within a priority.
+
+    Parameters
+    ----------
+    start : float
+        Virtual time at which the next call of the account starts.
+    """
+
+    start: float
+    calls: deque[QueuedCall] = attrs.field(factory=deque)
+
+    @property
+    def excess(self) -> float:
+        """Waiting calls relative to the account's weight."""
+        return len(self.calls) / self.calls[0].weight
+
+
+@attrs.define(eq=False)
+class _PriorityQueue:
+    """Waiting calls of one priority, by account (start-time fair queueing)."""
+
+    virtual_time: float = 0.0
+    by_account: dict[str, _AccountQueue] = attrs.field(factory=dict)
+    last_start_by_account: dict[str, float] = attrs.field(factory=dict)
+
+    def push(self, call: QueuedCall) -> None:
+        queue = self.by_account.get(call.account)
+        if queue is None:
+            last = self.last_start_by_account.get(call.account, 0.0)
+            queue = _AccountQueue(max(self.virtual_time, last))
+            self.by_account[call.account] = queue
+        queue.calls.append(call)
+
+    def pop(self) -> QueuedCall:
+        account = min(self.by_account, key=lambda name: self.by_account[name].start)
+        queue = self.by_account[account]
+        call = queue.calls.popleft()
+        self.virtual_time = queue.start
+        queue.start += 1.0 / call.weight
+        self.forget_if_empty(account)
+        return call
+
+    def pop_newest_of_largest(self) -> QueuedCall:
+        account = max(self.by_account, key=lambda name: self.by_account[name].excess)
+        call = self.by_account[account].calls.pop()
+        self.forget_if_empty(account)
+        return call
+
+    def forget_if_empty(self, account: str) -> None:
+        queue = self.by_account[account]
+        if queue.calls:
+            return
+        del self.by_account[account]
+        if len(self.last_start_by_account) >= MAX_ACCOUNTS_REMEMBERED:
+            self._prune()
+        self.last_start_by_account.pop(account, None)
+        self.last_start_by_account[account] = queue.start
+
+    def _prune(self) -> None:
+        ahead = [
+            (name, start)
+            for name, start in self.last_start_by_account.items()
+            if start > self.virtual_time
+        ]
+        self.last_start_by_account = dict(ahead[-MAX_ACCOUNTS_REMEMBERED // 2 :])
+
+
+@QUEUES.register("priority_fair")
+class PriorityFairQueue:
+    """Serves the most important calls first and shares the rest by weight.
+
+    When the queue is full, the newest call of the account with the most waiting
+    calls for its weight, in the least important priority, gives way.
+    """
+
+    parameter_constraints: ClassVar[dict[str, Constraint]] = {}
+
+    def __init__(self) -> None:
+        self._by_priority: dict[int, _PriorityQueue] = {}
+        self._length = 0
+        self._important_at: float | None = None
+
+    def __len__(self) -> int:
+        return self._length
+
+    def push(self, call: QueuedCall, capacity: int, now: float) -> QueuedCall | None:
+        """Add a call and return the one that gives way, maybe `call` itself."""
+        self._note(call, now)
+        self._by_priority.setdefault(call.priority, _PriorityQueue()).push(call)
+        self._length += 1
+        if self._length <= capacity:
+            return None
+        self._length -= 1
+        return self._waiting(max).pop_newest_of_largest()
+
+    def pop(self, now: float) -> QueuedCall | None:
+        """Remove and return the call that runs next."""
+        if not self._length:
+            return None
+        self._length -= 1
+        return self._waiting(min).pop()
+
+    def next_priority(self) -> int | None:
+        """Return the priority of the call that runs next."""
+        priorities = [p for p, queue in self._by_priority.items() if queue.by_account]
+        return min(priorities, default=None)
+
+    def reserve(self, limit: int, now: float) -> int:
+        """Return the slots kept free while important calls are about."""
+        if self._important_at is None or now - self._important_at > RESERVE_SECONDS:
+            return 0
+        return limit // SLOTS_PER_RESERVED
+
+    def remove_where(self, condition: Callable[[QueuedCall], bool]) -> list[QueuedCall]:
+        """Remove and return the calls that satisfy a condition."""
+        removed: list[QueuedCall] = []
+        for queue in self._by_priority.values():
+            for account, waiting in list(queue.by_account.items()):
+                dropped = [call for call in waiting.calls if condition(call)]
+                if dropped:
+                    kept = (call for call in waiting.calls if not condition(call))
+                    waiting.calls = deque(kept)
+                    queue.forget_if_empty(account)
+                    removed += dropped
+        self._length -= len(removed)
+        return removed
+
+    def _note(self, call: QueuedCall, now: float) -> None:
+        if call.priority <= IMPORTANT_PRIORITY:
+            self._important_at = now
+
+    def _waiting(self, choose: Callable[[list[int]], int]) -> _PriorityQueue:
+        priorities = [p for p, queue in self._by_priority.items() if queue.by_account]
+        return self._by_priority[choose(priorities)]
--- /dev/null
+++ b/knapweedlead/admission/_queues.py
@@ -0,0 +1,76 @@
+"""Bounded queues of calls that wait for a slot."""
+
+from collections.abc import Callable
+from typing import ClassVar, Protocol
+
+from knapweedlead.admission._calls import QueuedCall
+from knapweedlead.parameters import Constraint
+from knapweedlead.registries import Registry
+
+
+class Queue(Protocol):
+    """A policy for the order of waiting calls and for which of them give way."""
+
+    parameter_constraints: ClassVar[dict[str, Constraint]]
+
+    def __len__(self) -> int: ...
+
+    def push(self, call: QueuedCall, capacity: int, now: float) -> QueuedCall | None:
+        """Add a call and return the one that gives way, maybe `call` itself."""
+
+    def pop(self, now: float) -> QueuedCall | None:
+        """Remove and return the call that runs next."""
+
+    def next_priority(self) -> int | None:
+        """Return the priority of the call that runs next."""
+
+    def reserve(self, limit: int, now: float) -> int:
+        """Return the slots out of `limit` kept free for important calls."""
+
+    def remove_where(self, condition: Callable[[QueuedCall], bool]) -> list[QueuedCall]:
+        """Remove and return the calls that satisfy a condition."""
+
+
+QUEUES: Registry[Queue] = Registry("queue")
+
+
+@QUEUES.register("fifo")
+class FifoQueue:
+    """Serves calls in the order of arrival and refuses new ones when full."""
+
+    parameter_constraints: ClassVar[dict[str, Constraint]] = {}
+
+    def __init__(self) -> None:
+        self._calls: dict[int, QueuedCall] = {}
+
+    def __len__(self) -> int:
+        return len(self._calls)
+
+    def push(self, call: QueuedCall, capacity: int, now: float) -> QueuedCall | None:
+        """Add a call, or return it when the queue is full."""
+        if len(self._calls) >= capacity:
+            return call
+        self._calls[call.run] = call
+        return None
+
+    def pop(self, now: float) -> QueuedCall | None:
+        """Remove and return the call that came first."""
+        if not self._calls:
+            return None
+        return self._calls.pop(next(iter(self._calls)))
+
+    def next_priority(self) -> int | None:
+        """Return the priority of the call that came first."""
+        first = next(iter(self._calls.values()), None)
+        return None if first is None else first.priority
+
+    def reserve(self, limit: int, now: float) -> int:
+        """Keep no reserve."""
+        return 0
+
+    def remove_where(self, condition: Callable[[QueuedCall], bool]) -> list[QueuedCall]:
+        """Remove and return the calls that satisfy a condition."""
+        removed = [call for call in self._calls.values() if condition(call)]
+        for call in removed:
+            del self._calls[call.run]
+        return removed
--- a/knapweedlead/calls/_guard.py
+++ b/knapweedlead/calls/_guard.py
@@ -1,46 +1,47 @@
 """Guard role: admits calls to the own backend server."""
 
-import itertools
 import random
-from collections import deque
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
-import xxhash
-
-from knapweedlead.calls._headers import DEADLINE, PARENT, passed_on
+from knapweedlead.admission import AdmissionControl
+from knapweedlead.calls._guard_answers import answer_of, refusal_of
+from knapweedlead.calls._guard_books import GuardBooks, RunState
+from knapweedlead.calls._guard_checks import CatalogueChecks
+from knapweedlead.calls._guard_starts import StartSigns
+from knapweedlead.calls._guard_work import GuardWork
+from knapweedlead.calls._headers import PARENT
 from knapweedlead.calls._running import RunningCall
-from knapweedlead.configuration import ConfigurationRole
-from knapweedlead.messages import (
-    CallAnswer,
-    CallCancel,
-    CallRefusal,
-    CallRequest,
-    LoadReport,
-)
+from knapweedlead.configuration import ConfigurationChanged, ConfigurationRole
+from knapweedlead.messages import CallCancel, CallRequest, LoadReport
 from knapweedlead.node import (
-    CancelRun,
+    CallReceived,
     Count,
     Effect,
     Identity,
+    LinkDown,
+    LogEvent,
+    Observe,
     Role,
     RunAnswered,
     RunFailed,
-    RunOnBackendServer,
-    SendMessage,
+    ShutdownRequested,
+    Started,
     Tick,
+    Woken,
     handles,
     handles_message,
 )
 from knapweedlead.requests import Outcome, RefusalReason
+from knapweedlead.settings import AdmissionSettings, BackendServerSettings
 
-NO_PRIORITY_REFUSED = 10
-"""One above the least important priority: a load report that refuses none."""
+SERVICE_TIME = "knapweedlead.guard.service_time"
+DUPLICATES = "knapweedlead.guard.duplicates"
 
-QUEUE_LENGTH = 64
-"""Calls that wait at most."""
+OVERLOAD_STATUSES = frozenset({429, 503})
+"""Answers with which a backend server sheds load itself."""
 
-_MS_PER_S = 1000
-_TOKEN_BITS = 128
+BACKLOG_SECONDS = 0.1
+"""Time after a pause in which messages count as received before it."""
 
 
 class GuardRole(Role):
@@ -50,10 +51,12 @@
     ----------
     identity : Identity
         Who this daemon is.
-    slots : int
-        Calls that the backend server runs at once.
+    backend_server : BackendServerSettings
+        Limits of the backend server.
+    admission : AdmissionSettings
+        Names of the policies.
     configuration : ConfigurationRole
-        Statements on data centres and backend servers.
+        Statements on accounts, data centres and backend servers.
     rng : random.Random
         Source of parent tokens.
     """
@@ -61,173 +64,204 @@
     def __init__(
         self,
         identity: Identity,
-        slots: int,
+        backend_server: BackendServerSettings,
+        admission: AdmissionSettings,
         configuration: ConfigurationRole,
         rng: random.Random,
     ) -> None:
         self.identity = identity
-        self.slots = slots
+        self.backend_server = backend_server
+        self.admission = admission
         self.configuration = configuration
         self.rng = rng
-        self._runs = itertools.count(1)
-        self._waiting: deque[RunningCall] = deque()
-        self._running_by_run: dict[int, RunningCall] = {}
-        self._call_by_token: dict[str, RunningCall] = {}
-        self._call_by_key: dict[tuple[str, int, int], RunningCall] = {}
+        self.control = AdmissionControl(
+            slots=min(backend_server.slots, backend_server.connections),
+            cold_slots=backend_server.cold_slots,
+            cold_start_s=backend_server.cold_start_s,
+            limiter=admission.limiter,
+            queue=admission.queue,
+            cold_start=admission.cold_start,
+        )
+        self._books = GuardBooks(rng)
+        self._work = GuardWork(self.control, self._books)
+        self._starts = StartSigns()
+        self._checks: CatalogueChecks | None = None
+        self._logged_state = self.control.cold_start.state
+        self._woken_at: float | None = None
+        self._pause = 0.0
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether new calls are refused because the daemon is stopping."""
+        return self._work.is_draining
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no call runs or waits."""
+        return not self._books.by_run
 
     def parent_of(self, token: str) -> RunningCall | None:
         """Return the running call that a child call's token names."""
-        return self._call_by_token.get(token)
+        return self._books.of_token(token)
 
-    def load_report(self) -> LoadReport:
+    def load_report(self, now: float) -> LoadReport:
         """Return the state told to entries."""
-        return LoadReport(
-            limit=self.slots,
-            in_flight=len(self._running_by_run),
-            queued=len(self._waiting),
-            refused_priority=NO_PRIORITY_REFUSED,
-            is_cold=False,
-            is_draining=False,
+        return self._work.load_report(now)
+
+    @handles(Started)
+    def on_started(self, event: Started, now: float) -> Iterator[Effect]:
+        """Begin the announced cold start."""
+        self.control.fire("start_seen", now)
+        yield from self._log_state()
+
+    @handles(ShutdownRequested)
+    def on_shutdown(self, event: ShutdownRequested, now: float) -> Iterator[Effect]:
+        """Take no new calls; those taken on are finished."""
+        self._work.is_draining = True
+        self.control.fire("drain_requested", now)
+        yield from self._note_idle(now)
+
+    @handles(ConfigurationChanged)
+    def on_configuration(
+        self, event: ConfigurationChanged, now: float
+    ) -> Iterator[Effect]:
+        """Drop the waiting calls that the new catalogue no longer lets run."""
+        catalogue = event.catalogue
+        checks = self._checks = CatalogueChecks.of(catalogue, self.identity)
+        service = catalogue.services.get(self.identity.service)
+        if service is not None and self.backend_server.cold_start_s > 0.0:
+            self.control.cold_start.cold_slots = service.cold_slots
+            self.control.cold_start.cold_start_s = service.cold_start_s
+        if not checks.is_in_service:
+            reason = RefusalReason.OUT_OF_SERVICE
+            yield from self._work.drop(lambda call: True, reason, now)
+        reason = RefusalReason.INVALID_KEY
+        yield from self._work.drop(
+            lambda call: checks.is_withdrawn(call.request), reason, now
         )
 
     @handles_message(CallRequest)
     def on_request(
         self, peer: str, request: CallRequest, now: float
     ) -> Iterator[Effect]:
-        """Run, queue or refuse a call."""
-        call = RunningCall(
-            run=next(self._runs),
-            token=f"{self.rng.getrandbits(_TOKEN_BITS):032x}",
-            sender=peer,
-            request=request,
-            arrived_at=now,
-            deadline=now + request.deadline_ms / _MS_PER_S,
-            credits=request.retry_credits,
-        )
+        """Run, queue or refuse a call; a repeated message changes nothing."""
+        if self._books.is_known(peer, request):
+            yield Count(DUPLICATES)
+            return
+        call = self._books.open(peer, request, now, self._lateness(now))
         reason = self._reason_to_refuse(call, now)
         if reason is not None:
-            yield from self._refuse(call, Outcome.NOT_RUN, reason)
+            yield from self._work.refuse(call, reason, now)
             return
-        self._call_by_key[call.key] = call
-        if len(self._running_by_run) < self.slots:
-            yield self._run(call, now)
-        else:
-            self._waiting.append(call)
+        yield from self._work.admit(call, self._weight_of(request.account), now)
 
     def _reason_to_refuse(self, call: RunningCall, now: float) -> RefusalReason | None:
-        catalogue = self.configuration.catalogue
-        if catalogue is None:
+        if self.is_draining:
+            return RefusalReason.DRAINING
+        if self._checks is None:
             return RefusalReason.CONFIGURATION_UNKNOWN
-        if not catalogue.is_backend_server_in_service(
-            self.identity.name, self.identity.data_centre
-        ):
-            return RefusalReason.OUT_OF_SERVICE
-        if call.deadline <= now:
+        reason = self._checks.reason_to_refuse(call.request)
+        if reason is None and call.deadline <= now:
             return RefusalReason.DEADLINE_EXCEEDED
-        if len(self._waiting) >= QUEUE_LENGTH:
-            return RefusalReason.OVERLOADED
-        return None
-
-    def _run(self, call: RunningCall, now: float) -> Effect:
-        call.started_at = now
-        self._running_by_run[call.run] = call
-        self._call_by_token[call.token] = call
-        request = call.request
-        headers = passed_on(request.headers)
-        headers[DEADLINE] = str(max(1, int((call.deadline - now) * _MS_PER_S)))
-        headers[PARENT] = call.token
-        return RunOnBackendServer(
-            run=call.run,
-            method=request.method,
-            path=request.path,
-            headers=headers,
-            body=request.body,
-            timeout=call.deadline - now,
-        )
+        return reason
+
+    def _weight_of(self, name: str) -> float:
+        catalogue = self.configuration.catalogue
+        account = None if catalogue is None else catalogue.client_accounts.get(name)
+        return 1.0 if account is None else account.weight
+
+    def _lateness(self, now: float) -> float:
+        """Return how long a message may have waited during a pause."""
+        if self._woken_at is None or now - self._woken_at > BACKLOG_SECONDS:
+            return 0.0
+        return self._pause
+
+    @handles(CallReceived)
+    def on_child_call(self, event: CallReceived, now: float) -> Iterable[Effect]:
+        """Note when a running call made its first child call."""
+        parent = self._books.of_token(event.headers.get(PARENT, ""))
+        if parent is not None:
+            self._books.state_by_run[parent.run].note_child(now)
+        return ()
 
     @handles(RunAnswered)
     def on_run_answered(self, event: RunAnswered, now: float) -> Iterator[Effect]:
         """Send the whole answer back and start the next call."""
-        call = self._finish(event.run)
+        call = self._books.running_by_run.get(event.run)
+        if self._starts.is_start_in_answer(event.headers):
+            self.control.fire("start_seen", now)
         if call is not None:
-            request = call.request
-            answer = CallAnswer(
-                request_id=request.request_id,
-                call_id=request.call_id,
-                attempt=request.attempt,
-                status=event.status,
-                headers=passed_on(event.headers),
-                body=event.body,
-                digest=xxhash.xxh3_64_digest(event.body),
-                unused_credits=call.credits,
-                load=self.load_report(),
-            )
-            yield SendMessage(call.sender, answer)
-        yield from self._start_next(now)
+            is_failure = event.status in OVERLOAD_STATUSES
+            self._work.end(call, is_failure, not is_failure, now)
+            yield Observe(SERVICE_TIME, now - call.started_at)
+            yield answer_of(call, event, self.load_report(now))
+        yield from self._work.start_next(now)
+        yield from self._note_idle(now)
 
     @handles(RunFailed)
     def on_run_failed(self, event: RunFailed, now: float) -> Iterator[Effect]:
         """Report a run without a whole answer and start the next call."""
-        call = self._finish(event.run)
-        if call is not None and event.was_sent:
-            reason = RefusalReason.BACKEND_SERVER_FAILED
-            yield from self._refuse(call, Outcome.UNKNOWN, reason)
-        elif call is not None:
-            reason = RefusalReason.BACKEND_SERVER_UNREACHABLE
-            yield from self._refuse(call, Outcome.NOT_RUN, reason)
-        yield from self._start_next(now)
+        call = self._books.running_by_run.get(event.run)
+        if not event.was_sent and self._starts.is_start_expected():
+            self.control.fire("start_seen", now)
+        if call is not None:
+            is_late = call.deadline <= now
+            state = self._work.end(call, not is_late, False, now)
+            reason = _reason_of_failure(event, state, is_late)
+            outcome = Outcome.UNKNOWN if event.was_sent else Outcome.NOT_RUN
+            yield from refusal_of(call, outcome, reason, 0, self.load_report(now))
+        yield from self._work.start_next(now)
+        yield from self._note_idle(now)
 
     @handles_message(CallCancel)
     def on_cancel(self, peer: str, cancel: CallCancel, now: float) -> Iterator[Effect]:
-        """Drop a waiting call, or close the connection of a running one."""
-        call = self._call_by_key.get((peer, cancel.call_id, cancel.attempt))
-        if call is None:
-            return
-        if call.run in self._running_by_run:
-            yield CancelRun(call.run)
-        else:
-            self._waiting.remove(call)
-            yield from self._refuse(call, Outcome.NOT_RUN, RefusalReason.CANCELLED)
+        """Cancel a call that its sender no longer wants."""
+        call = self._books.of_exchange(peer, cancel)
+        if call is not None:
+            yield from self._work.cancel(call, now)
+
+    @handles(LinkDown)
+    def on_link_down(self, event: LinkDown, now: float) -> Iterator[Effect]:
+        """Drop the waiting calls of a sender that has given them up."""
+        reason = RefusalReason.LINK_LOST
+        yield from self._work.drop(lambda call: call.sender == event.peer, reason, now)
+
+    @handles(Woken)
+    def on_woken(self, event: Woken, now: float) -> Iterator[Effect]:
+        """Act on the deadlines that passed during a pause before anything else."""
+        self._woken_at = now
+        self._pause = event.pause
+        yield from self._work.expire(now)
 
     @handles(Tick)
     def on_tick(self, event: Tick, now: float) -> Iterator[Effect]:
-        """Refuse waiting calls whose deadline has passed."""
-        expired = [call for call in self._waiting if call.deadline <= now]
-        for call in expired:
-            self._waiting.remove(call)
-            reason = RefusalReason.DEADLINE_EXCEEDED
-            yield from self._refuse(call, Outcome.NOT_RUN, reason)
-
-    def _start_next(self, now: float) -> Iterator[Effect]:
-        while self._waiting and len(self._running_by_run) < self.slots:
-            call = self._waiting.popleft()
-            if call.deadline > now:
-                yield self._run(call, now)
-                continue
-            reason = RefusalReason.DEADLINE_EXCEEDED
-            yield from self._refuse(call, Outcome.NOT_RUN, reason)
-
-    def _finish(self, run: int) -> RunningCall | None:
-        call = self._running_by_run.pop(run, None)
-        if call is not None:
-            del self._call_by_token[call.token]
-            self._call_by_key.pop(call.key, None)
-        return call
+        """Act on deadlines, slow runs and the end of a cold start."""
+        yield from self._work.expire(now)
+        self._work.note_stalled(now)
+        self.control.cold_start.advance(now)
+        yield from self._work.start_next(now)
+        yield from self._note_idle(now)
 
-    def _refuse(
-        self, call: RunningCall, outcome: Outcome, reason: RefusalReason
-    ) -> Iterator[Effect]:
-        self._call_by_key.pop(call.key, None)
-        request = call.request
-        yield Count("knapweedlead.guard.refusals", (("reason", reason.value),))
-        refusal = CallRefusal(
-            request_id=request.request_id,
-            call_id=request.call_id,
-            attempt=request.attempt,
-            outcome=outcome.value,
-            reason=reason.value,
-            retry_after_ms=0,
-            unused_credits=call.credits,
-            load=self.load_report(),
-        )
-        yield SendMessage(call.sender, refusal)
+    def _note_idle(self, now: float) -> Iterator[Effect]:
+        if self.is_draining and self.is_idle:
+            self.control.fire("work_finished", now)
+        yield from self._log_state()
+
+    def _log_state(self) -> Iterator[Effect]:
+        state = self.control.cold_start.state
+        if state != self._logged_state:
+            fields = (("from", self._logged_state), ("to", state))
+            self._logged_state = state
+            yield LogEvent("backend_server_state", fields)
+
+
+def _reason_of_failure(
+    event: RunFailed, state: RunState, is_late: bool
+) -> RefusalReason:
+    if is_late:
+        return RefusalReason.DEADLINE_EXCEEDED
+    if state.is_cancelled:
+        return RefusalReason.CANCELLED
+    if event.was_sent:
+        return RefusalReason.BACKEND_SERVER_FAILED
+    return RefusalReason.BACKEND_SERVER_UNREACHABLE
--- a/knapweedlead/daemon/_composition.py
+++ b/knapweedlead/daemon/_composition.py
@@ -63,7 +63,7 @@
     )
     accounts = AccountsRole()
     once = OnceRole()
-    guard = GuardRole(identity, backend_server.slots, configuration, rng)
+    guard = GuardRole(identity, backend_server, settings.admission, configuration, rng)
     entry = EntryRole(configuration, membership, accounts, once, guard, rng)
     roles = [configuration, membership, accounts, once, guard, entry]
     return Composition(
--- a/knapweedlead/settings/_schema.py
+++ b/knapweedlead/settings/_schema.py
@@ -115,14 +115,22 @@
 
 @attrs.frozen
 class AdmissionSettings:
-    """Names of the policies of the guard."""
+    """Names of the policies of the guard.
 
-    limiter: str = "static"
+    Parameters
+    ----------
+    limiter, queue, cold_start : str
+        As registered in `knapweedlead.admission`.
+    """
+
+    limiter: str = "adaptive"
     queue: str = "priority_fair"
+    cold_start: str = "ramp"
 
     parameter_constraints: ClassVar[dict[str, Constraint]] = {
         "limiter": InstanceOf(str),
         "queue": InstanceOf(str),
+        "cold_start": InstanceOf(str),
     }
 
 
