--- /dev/null
+++ b/knapweedlead/admission/tests/test_control.py
@@ -0,0 +1,105 @@
+"""Admission control: slots, reserve, deadlines, and what entries are told."""
+
+from knapweedlead.admission import (
+    NO_PRIORITY_REFUSED,
+    AdmissionControl,
+    Measured,
+    QueuedCall,
+    RouteTimes,
+)
+
+SLOTS = 80
+
+
+def call(run, priority=5, account="crew", arrived_at=0.0, deadline=10.0):
+    return QueuedCall(run, account, "wear", priority, 1.0, arrived_at, deadline)
+
+
+def start_all(control, now=0.0):
+    started = list(iter(lambda: control.next_to_start(now), None))
+    for entry in started:
+        control.note_started(entry, now)
+    return started
+
+
+def measured(seconds, has_children=False, own_s=None, is_whole=True):
+    own = seconds if own_s is None else own_s
+    return Measured("wear", own, seconds, has_children, False, is_whole)
+
+
+def test_browsing_leaves_the_reserve_to_important_calls():
+    control = AdmissionControl(SLOTS, 4, 0.0)
+    control.offer(call(0, priority=0), 0.0)
+    for run in range(1, 200):
+        control.offer(call(run), 0.0)
+    assert len(start_all(control)) == SLOTS - 2
+    control.offer(call(500, priority=0), 0.0)
+    assert [entry.run for entry in start_all(control)] == [500]
+
+
+def test_without_important_calls_no_slot_stands_idle():
+    control = AdmissionControl(SLOTS, 4, 0.0)
+    for run in range(200):
+        control.offer(call(run), 0.0)
+    assert len(start_all(control)) == SLOTS
+
+
+def test_call_that_can_no_longer_end_in_time_is_not_worth_starting():
+    control = AdmissionControl(SLOTS, 4, 0.0)
+    for run in range(100):
+        now = run / 50
+        control.offer(call(run), now)
+        control.next_to_start(now)
+        control.end(run, measured(0.1), now)
+    late = call(1000, arrived_at=3.0, deadline=4.0)
+    assert control.is_worth_starting(late, 3.0)
+    assert not control.is_worth_starting(late, 3.95)
+
+
+def test_fresh_call_is_worth_starting_however_slow_the_route_became():
+    control = AdmissionControl(SLOTS, 4, 0.0)
+    for run in range(200):
+        now = run / 50
+        control.offer(call(run), now)
+        control.next_to_start(now)
+        control.end(run, measured(30.0), now)
+    assert control.is_worth_starting(call(1000, arrived_at=5.0, deadline=6.0), 5.0)
+
+
+def test_slow_child_calls_do_not_count_against_the_backend_server():
+    control = AdmissionControl(SLOTS, 4, 10.0)
+    for run in range(2000):
+        now = run / 100
+        child_s = 0.02 if run < 500 else 4.0
+        control.offer(call(run, deadline=now + 10.0), now)
+        control.next_to_start(now)
+        control.end(run, measured(0.05 + child_s, True, own_s=0.05), now)
+    assert control.limit == SLOTS
+    assert not control.is_cold
+
+
+def test_priority_is_reported_refused_only_while_none_of_it_runs():
+    control = AdmissionControl(20, 4, 0.0)
+    for run in range(60):
+        control.offer(call(run, priority=5), 0.0)
+        start_all(control, 0.0)
+    assert control.refused_priorities.lowest(0.1) == NO_PRIORITY_REFUSED
+    for run in range(100, 160):
+        control.offer(call(run, priority=1), 1.0)
+    assert control.refused_priorities.lowest(1.1) == 1
+    assert control.refused_priorities.lowest(2.0) == NO_PRIORITY_REFUSED
+
+
+def test_one_slow_period_does_not_pass_for_usual():
+    times = RouteTimes()
+    for step in range(3000):
+        now = step / 100
+        times.add("wear", 0.5 if now > 20.0 else 0.05, now)
+    assert times.usual("wear") == 0.05
+
+
+def test_route_times_stay_bounded_however_many_routes_appear():
+    times = RouteTimes()
+    for number in range(5000):
+        times.add(f"route-{number}", 1.0, 0.0)
+    assert len(times) <= 256
--- a/standins/cores.py
+++ b/standins/cores.py
@@ -82,6 +82,34 @@
     running_by_run: dict[int, RunningRequest] = attrs.field(factory=dict)
     most_running: int = 0
 
+    def work_s(self, request: RunningRequest, now: float) -> float:
+        """Return the seconds of work for a request that begins."""
+        return self.service_s
+
+    def status_of(self, request: RunningRequest) -> int:
+        """Return the status with which a request ends."""
+        return self.status
+
+
+@attrs.frozen
+class BackendServerLimits:
+    """What a daemon's settings say of the backend server beside it.
+
+    Parameters
+    ----------
+    slots, cold_slots : int
+        Calls at once, warm and cold.
+    cold_start_s : float
+        Seconds that a cold start lasts.
+    connections : int
+        Connections that it accepts.
+    """
+
+    slots: int
+    cold_slots: int
+    cold_start_s: float = 0.0
+    connections: int = 1000
+
 
 @attrs.define
 class CallerReply:
@@ -171,10 +199,16 @@
         data_centre: str = "dc1",
         region: str = "region1",
         backend_server: CoreBackendServer | None = None,
+        limits: BackendServerLimits | None = None,
         **settings: Any,
     ) -> Core:
-        """Add and start a core."""
+        """Add and start a core.
+
+        The daemon is told the limits of the fake, or others where `limits` says
+        so.
+        """
         fake = backend_server or CoreBackendServer()
+        told = limits or BackendServerLimits(fake.slots, min(4, fake.slots))
         port = FIRST_PORT + len(self.by_name)
         daemon_settings = DaemonSettings(
             name=name,
@@ -188,7 +222,11 @@
             fleet_secret="fleet-secret-of-the-cores",
             operator_credential="operator-credential-of-the-cores",
             backend_server=BackendServerSettings(
-                f"127.0.3.1:{port}", fake.slots, min(4, fake.slots), 0.0, 1000
+                f"127.0.3.1:{port}",
+                told.slots,
+                told.cold_slots,
+                told.cold_start_s,
+                told.connections,
             ),
             store=StoreSettings("127.0.4.1:8500"),
             **settings,
@@ -406,7 +444,7 @@
             if core.composition is composition and not request.is_cancelled:
                 self._call_children(core, request, list(fake.child_paths))
 
-        self.at(self.now + fake.service_s, work_done)
+        self.at(self.now + fake.work_s(request, self.now), work_done)
 
     def _call_children(
         self, core: Core, request: RunningRequest, paths: list[str]
@@ -414,7 +452,8 @@
         if request.is_cancelled or not core.is_up:
             return
         if not paths:
-            self._end(core, request, core.backend_server.status)
+            status = core.backend_server.status_of(request)
+            self._end(core, request, status)
             return
 
         def go_on(reply: CallerReply) -> None:
--- /dev/null
+++ b/standins/scenarios.py
@@ -0,0 +1,362 @@
+"""Scenarios: services, accounts and arrivals over cores, with what came of them."""
+
+import hashlib
+import itertools
+import json
+import random
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from standins.cores import BackendServerLimits, CallerReply, Cores
+from standins.model_server import REQUEST_HEADER, ModelServer, WorkLedger
+
+AMPLE_RATE = 100_000
+"""Account rate that refuses nothing, in requests a second."""
+
+SETTLE_SECONDS = 3.0
+"""Time in which the cores of a scenario come to know each other."""
+
+CLIENT_BACKOFF_SECONDS = 0.05
+
+
+@attrs.frozen
+class ServiceModel:
+    """A service of a scenario.
+
+    Parameters
+    ----------
+    name : str
+        Name of the service, of its route and its path prefix.
+    servers, slots : int
+        Backend servers, and calls at once on each.
+    service_s : float
+        Median seconds of own work.
+    priority : int
+        Of its route.
+    child : str
+        Service that each call calls once; empty for none.
+    """
+
+    name: str
+    servers: int
+    slots: int
+    service_s: float
+    priority: int
+    child: str = ""
+
+    @property
+    def capacity(self) -> float:
+        """Calls a second of all servers, by the slots and the median time."""
+        return self.servers * self.slots / self.service_s
+
+
+@attrs.frozen
+class Model:
+    """Services, client accounts with their shares of demand, and data centres."""
+
+    name: str
+    services: tuple[ServiceModel, ...]
+    share_by_account: dict[str, float]
+    weight_by_account: dict[str, float] = attrs.field(factory=dict)
+    data_centres: tuple[str, ...] = ("dc1", "dc2", "dc3")
+
+    @property
+    def by_name(self) -> dict[str, ServiceModel]:
+        """Services by name."""
+        return {service.name: service for service in self.services}
+
+
+@attrs.frozen
+class Client:
+    """How callers behave.
+
+    Parameters
+    ----------
+    patience_s : float
+        Seconds after which an answer is of no more use.
+    tries : int
+        Requests sent at most for one need, one after another.
+    """
+
+    patience_s: float = 1.5
+    tries: int = 1
+
+
+@attrs.define
+class Need:
+    """What a caller wants, over all its tries."""
+
+    number: int
+    service: str
+    account: str
+    began_at: float
+    tries: int = 0
+    ended_at: float = 0.0
+    is_served: bool = False
+
+
+class Scenario:
+    """A model under demand.
+
+    Parameters
+    ----------
+    model : Model
+        Services and accounts.
+    seed : int
+        Seed of everything random.
+    client : Client
+        How callers behave.
+    heeds_cancel : bool
+        Whether backend servers stop work that was cancelled.
+    cold_start_s : float
+        Seconds of a cold start that the daemons are told.
+    settings : dict
+        Further settings of each daemon.
+    """
+
+    def __init__(
+        self,
+        model: Model,
+        seed: int,
+        client: Client | None = None,
+        heeds_cancel: bool = True,
+        cold_start_s: float = 0.0,
+        **settings: Any,
+    ) -> None:
+        self.model = model
+        self.client = client or Client()
+        self.heeds_cancel = heeds_cancel
+        self.cold_start_s = cold_start_s
+        self.settings = settings
+        self.rng = random.Random(seed)
+        self.ledger = WorkLedger()
+        self.cores = Cores(seed=seed)
+        self.needs: list[Need] = []
+        self.sent = 0
+        self.refusals: Counter[str] = Counter()
+        self.servers_by_service: dict[str, list[ModelServer]] = {}
+        self._names: list[str] = []
+        self._numbers = itertools.count(1)
+        self._headers_by_account = {
+            account: {"authorization": f"Bearer key-of-{account}"}
+            for account in model.share_by_account
+        }
+        self._build()
+
+    def _build(self) -> None:
+        document = json.dumps(self._catalogue()).encode()
+        self.cores.store.state.compare_and_swap(
+            "knapweedlead/catalogue", document, 0, ""
+        )
+        for service in self.model.services:
+            for number in range(service.servers):
+                self._add(service, number)
+        self.cores.run_for(SETTLE_SECONDS)
+
+    def _add(self, service: ServiceModel, number: int) -> None:
+        cold_slots = max(1, service.slots // 8)
+        server = ModelServer(
+            service_s=service.service_s,
+            child_paths=[f"/{service.child}/part"] if service.child else [],
+            rng=random.Random(self.rng.getrandbits(64)),
+            ledger=self.ledger,
+            capacity=service.slots,
+            cold_slots=cold_slots,
+            heeds_cancel=self.heeds_cancel,
+        )
+        name = f"{service.name}-{number}"
+        self._names.append(name)
+        self.servers_by_service.setdefault(service.name, []).append(server)
+        self.cores.add(
+            name,
+            service.name,
+            self.model.data_centres[number % len(self.model.data_centres)],
+            backend_server=server,
+            limits=BackendServerLimits(service.slots, cold_slots, self.cold_start_s),
+            **self.settings,
+        )
+
+    def _catalogue(self) -> dict[str, Any]:
+        services = self.model.services
+        weights = self.model.weight_by_account
+        accounts = self.model.share_by_account
+        resources = {
+            "client_accounts": [
+                {
+                    "name": name,
+                    "rate_per_s": AMPLE_RATE,
+                    "burst": AMPLE_RATE,
+                    "weight": weights.get(name, 1.0),
+                }
+                for name in accounts
+            ],
+            "keys": [
+                {
+                    "name": f"{name}-1",
+                    "client_account": name,
+                    "sha256": hashlib.sha256(f"key-of-{name}".encode()).hexdigest(),
+                }
+                for name in accounts
+            ],
+            "routes": [
+                {
+                    "name": service.name,
+                    "path_prefix": f"/{service.name}",
+                    "service": service.name,
+                    "priority": service.priority,
+                    "is_idempotent": True,
+                }
+                for service in services
+            ],
+            "services": [
+                {
+                    "name": service.name,
+                    "cold_slots": max(1, service.slots // 8),
+                    "cold_start_s": self.cold_start_s,
+                }
+                for service in services
+            ],
+            "data_centres": [{"name": name} for name in self.model.data_centres],
+        }
+        return {"revision": 1, "resources": resources}
+
+    def drive(
+        self, rate_by_service: dict[str, float], seconds: float, flood: str = ""
+    ) -> None:
+        """Let needs arrive at random for some time and run the clock.
+
+        Parameters
+        ----------
+        rate_by_service : dict of str to float
+            Needs a second.
+        seconds : float
+            How long.
+        flood : str
+            Account that alone brings the demand; empty shares it out.
+        """
+        until = self.cores.now + seconds
+        for service, rate in rate_by_service.items():
+            if rate > 0.0:
+                self._arrive(service, rate, until, flood)
+        self.cores.run_until(until)
+
+    def _arrive(self, service: str, rate: float, until: float, flood: str) -> None:
+        at = self.cores.now + self.rng.expovariate(rate)
+        if at >= until:
+            return
+
+        def arrived() -> None:
+            account = flood or self._account()
+            need = Need(next(self._numbers), service, account, self.cores.now)
+            self.needs.append(need)
+            self._try(need)
+            self._arrive(service, rate, until, flood)
+
+        self.cores.at(at, arrived)
+
+    def _account(self) -> str:
+        shares = self.model.share_by_account
+        return self.rng.choices(list(shares), list(shares.values()))[0]
+
+    def _try(self, need: Need) -> None:
+        need.tries += 1
+        self.sent += 1
+        headers = {
+            **self._headers_by_account[need.account],
+            REQUEST_HEADER: f"{need.number}-{need.tries}",
+            "knapweedlead-deadline-ms": str(int(self.client.patience_s * 1000)),
+        }
+        path = f"/{need.service}/{need.number}"
+        name = self.rng.choice(self._names)
+        self.cores.call(name, path, headers, on_reply=self._replied(need))
+
+    def _replied(self, need: Need) -> Callable[[CallerReply], None]:
+        def replied(reply: CallerReply) -> None:
+            need.ended_at = self.cores.now
+            is_whole = reply.status == 200
+            is_timely = reply.replied_at - reply.sent_at <= self.client.patience_s
+            need.is_served = is_whole and is_timely
+            if need.is_served:
+                return
+            self.refusals[_reason_of(reply)] += 1
+            if need.tries < self.client.tries:
+                at = self.cores.now + CLIENT_BACKOFF_SECONDS
+                self.cores.at(at, lambda: self._try(need))
+
+        return replied
+
+    def served_per_s(self, service: str, start: float, end: float) -> float:
+        """Return the needs of a service served a second between two times."""
+        served = sum(
+            need.is_served and start <= need.ended_at < end
+            for need in self.needs
+            if need.service == service
+        )
+        return served / (end - start)
+
+    def share_served(
+        self, start: float, end: float, service: str = "", account: str = ""
+    ) -> float:
+        """Return the share of the needs begun between two times that were served."""
+        chosen = [
+            need.is_served
+            for need in self.needs
+            if start <= need.began_at < end
+            and (not service or need.service == service)
+            and (not account or need.account == account)
+        ]
+        return sum(chosen) / len(chosen) if chosen else 1.0
+
+    def wasted_share(self) -> float:
+        """Return the share of all work that went into tries that failed."""
+        useful = {
+            f"{need.number}-{need.tries}" for need in self.needs if need.is_served
+        }
+        spent = self.ledger.seconds_by_request
+        total = sum(spent.values())
+        kept = sum(seconds for request, seconds in spent.items() if request in useful)
+        return 1.0 - kept / total if total else 0.0
+
+
+def _reason_of(reply: CallerReply) -> str:
+    if "problem" not in reply.headers.get("content-type", ""):
+        return f"status_{reply.status}"
+    reason: str = json.loads(reply.body)["reason"]
+    return reason
+
+
+def granite_span(scale: int = 5, service_s: float = 0.2) -> Model:
+    """Return Granite Span's services with slots divided by `scale`."""
+    return Model(
+        "granite-span",
+        (
+            ServiceModel("wear", 6, 150 // scale, service_s, 5),
+            ServiceModel("ticketing", 3, 300 // scale, service_s, 2, child="wear"),
+            ServiceModel("closures", 3, 300 // scale, service_s, 0),
+            ServiceModel("signoffs", 3, 40 // scale, service_s, 0, child="closures"),
+        ),
+        _accounts("crew"),
+    )
+
+
+def crimpline(scale: int = 5, service_s: float = 0.2) -> Model:
+    """Return Crimpline's services with slots divided by `scale`."""
+    return Model(
+        "crimpline",
+        (
+            ServiceModel("catalogue", 5, 120 // scale, service_s, 7),
+            ServiceModel("bookings", 4, 150 // scale, service_s, 0, child="billing"),
+            ServiceModel("billing", 3, 200 // scale, service_s, 0),
+            ServiceModel("routes", 3, 30 // scale, service_s, 3),
+        ),
+        _accounts("gym"),
+    )
+
+
+def _accounts(prefix: str) -> dict[str, float]:
+    """Return 8 accounts, three of them large."""
+    shares = (5.0, 4.0, 3.0, 1.0, 1.0, 1.0, 1.0, 1.0)
+    return {f"{prefix}-{number}": share for number, share in enumerate(shares, 1)}
