--- a/knapweedlead/daemon/_composition.py
+++ b/knapweedlead/daemon/_composition.py
@@ -64,7 +64,7 @@
     )
     accounts = AccountsRole()
     once = OnceRole()
-    guard = GuardRole(identity, backend_server.slots, configuration, rng)
+    guard = GuardRole(identity, backend_server, settings.admission, configuration, rng)
     entry = EntryRole(configuration, membership, accounts, once, guard, rng)
     operator = OperatorRole(identity, configuration, membership, store_calls)
     roles = [
