Entry split into small modules; retry credits, routing by observation

Cause: the baseline entry lent all credits and could neither retry a lost attempt nor count a caller's repeats, took a later not_run for the outcome of a request whose earlier attempt was lost, never completed a claim that was pending, gave back tokens it had not taken, scanned all calls on each tick and link loss, and chose servers blindly. Change: intake, attempts, endings and the table of pending calls as modules; retries and routing as packages with registries beside their baselines.

--- a/knapweedlead/calls/_entry.py
+++ b/knapweedlead/calls/_entry.py
@@ -1,10 +1,9 @@
 """Entry role: takes calls from callers and has them run."""
 
-import itertools
 import random
 from collections.abc import Iterator
 
-import xxhash
+from result import Err
 
 from knapweedlead.accounts import (
     AccountsRole,
@@ -12,29 +11,25 @@
     TokensDecided,
     authenticate,
 )
+from knapweedlead.calls._attempts import Attempts
+from knapweedlead.calls._endings import CallEndings, refuse
 from knapweedlead.calls._guard import GuardRole
-from knapweedlead.calls._headers import (
-    AUTHORIZATION,
-    DEADLINE,
-    IDEMPOTENCY_KEY,
-    PARENT,
-    passed_on,
-)
-from knapweedlead.calls._pending import PendingCall
-from knapweedlead.calls._problem import problem_reply
-from knapweedlead.configuration import Catalogue, ConfigurationRole, Route
-from knapweedlead.membership import Member, MembershipRole
-from knapweedlead.messages import CallAnswer, CallCancel, CallRefusal, CallRequest
+from knapweedlead.calls._headers import AUTHORIZATION, IDEMPOTENCY_KEY
+from knapweedlead.calls._intake import CallIntake, fingerprint, is_claim_needed
+from knapweedlead.calls._pending import UNDER_WAY, PendingCall
+from knapweedlead.calls._pending_calls import PendingCalls
+from knapweedlead.configuration import ConfigurationChanged, ConfigurationRole
+from knapweedlead.membership import MembersChanged
+from knapweedlead.messages import CallAnswer, CallRefusal, CallRequest
 from knapweedlead.node import (
     CallerGone,
     CallReceived,
     Count,
     Effect,
     LinkDown,
-    ReplyToCaller,
     Role,
+    RunFailed,
     SendFailed,
-    SendMessage,
     Tick,
     handles,
     handles_message,
@@ -46,17 +41,12 @@
     OnceRole,
     Outcome,
     RefusalReason,
-    RetryReason,
     StoredAnswer,
 )
+from knapweedlead.retries import RepeatLedger, RetryPolicy
+from knapweedlead.routing import Router
 
-MAX_HOPS = 32
-
-_MS_PER_S = 1000
-_REQUEST_ID_BITS = 128
-_REQUEST_ID_BYTES = 16
-
-_REASON_BY_ONCE_DECISION = {
+_REFUSAL_BY_ONCE_DECISION = {
     OnceDecision.IN_PROGRESS: (
         RefusalReason.IDEMPOTENCY_IN_PROGRESS,
         Outcome.UNKNOWN,
@@ -69,6 +59,11 @@
     ),
 }
 
+_REASON_BY_TOKEN_DECISION = {
+    TokenDecision.REFUSED: RefusalReason.RATE_EXCEEDED,
+    TokenDecision.UNAVAILABLE: RefusalReason.RATE_UNAVAILABLE,
+}
+
 
 class EntryRole(Role):
     """Authenticates, meters, routes and retries calls.
@@ -77,119 +72,68 @@
     ----------
     configuration : ConfigurationRole
         Accounts, keys and routes in force.
-    membership : MembershipRole
-        Where backend servers are.
     accounts : AccountsRole
         Tokens of the client accounts.
     once : OnceRole
         Once records.
     guard : GuardRole
         Running calls of the own backend server, parents of child calls.
+    router : Router
+        Chooses backend servers.
+    retries : RetryPolicy
+        Decides on retries.
     rng : random.Random
-        Source of request ids and of choices among members.
+        Source of request ids.
     """
 
     def __init__(
         self,
         configuration: ConfigurationRole,
-        membership: MembershipRole,
         accounts: AccountsRole,
         once: OnceRole,
         guard: GuardRole,
+        router: Router,
+        retries: RetryPolicy,
         rng: random.Random,
     ) -> None:
         self.configuration = configuration
-        self.membership = membership
         self.accounts = accounts
         self.once = once
-        self.guard = guard
-        self.rng = rng
-        self._call_ids = itertools.count(1)
-        self._by_call_id: dict[int, PendingCall] = {}
-        self._by_exchange: dict[int, PendingCall] = {}
+        self.router = router
+        self.calls = PendingCalls()
+        self.repeats = RepeatLedger()
+        self.intake = CallIntake(configuration, guard, retries, self.repeats, rng)
+        self.endings = CallEndings(self.calls, accounts, once, self.repeats)
+        self.attempts = Attempts(
+            configuration, self.calls, self.endings, router, retries
+        )
 
     @handles(CallReceived)
     def on_call(self, event: CallReceived, now: float) -> Iterator[Effect]:
         """Authenticate a call and ask for its token."""
-        catalogue = self.configuration.catalogue
-        if catalogue is None or not self.configuration.is_fresh(now):
-            yield from _refuse(event, RefusalReason.CONFIGURATION_UNKNOWN)
-            return
-        route = catalogue.route_of(event.path)
-        if route is None:
-            yield from _refuse(event, RefusalReason.UNKNOWN_ROUTE)
-            return
-        if PARENT in event.headers:
-            yield from self._take_child(event, route, now)
-        else:
-            yield from self._take_first(event, route, catalogue, now)
-
-    def _take_child(
-        self, event: CallReceived, route: Route, now: float
-    ) -> Iterator[Effect]:
-        parent = self.guard.parent_of(event.headers[PARENT])
-        if parent is None:
-            yield from _refuse(event, RefusalReason.INVALID_PARENT)
-            return
-        if parent.request.hops + 1 > MAX_HOPS:
-            yield from _refuse(event, RefusalReason.HOP_LIMIT)
+        taken = self.intake.take(event, now)
+        if isinstance(taken, Err):
+            yield from refuse(event, taken.err_value)
             return
-        call = PendingCall(
-            call_id=next(self._call_ids),
-            event=event,
-            route=route,
-            account=parent.request.account,
-            metered=None,
-            parent=parent,
-            request_id=parent.request.request_id,
-            priority=min(parent.request.priority, route.priority),
-            deadline=min(parent.deadline, self._deadline(event, route, now)),
-            credits=parent.credits,
-            hops=parent.request.hops + 1,
-        )
-        parent.credits = 0
-        self._keep(call)
-        yield from self._claim(call, now)
-
-    def _take_first(
-        self, event: CallReceived, route: Route, catalogue: Catalogue, now: float
-    ) -> Iterator[Effect]:
-        account = None
-        if not route.is_open:
-            check = authenticate(catalogue, event.headers.get(AUTHORIZATION, ""))
-            if check.reason is not None:
-                yield from _refuse(event, check.reason)
-                return
-            account = check.account
-        call = PendingCall(
-            call_id=next(self._call_ids),
-            event=event,
-            route=route,
-            account=account.name if account else "",
-            metered=account,
-            parent=None,
-            request_id=self.rng.getrandbits(_REQUEST_ID_BITS).to_bytes(
-                _REQUEST_ID_BYTES, "big"
-            ),
-            priority=route.priority,
-            deadline=self._deadline(event, route, now),
-            credits=route.retry_credits,
-            hops=0,
-        )
-        self._keep(call)
-        if account is None:
+        call = taken.ok_value
+        self.calls.add(call)
+        if call.metered is None:
             yield from self._claim(call, now)
             return
-        decision, effects = self.accounts.take(account, call.call_id, now)
+        decision, effects = self.accounts.take(call.metered, call.call_id, now)
         yield from effects
         yield from self._on_tokens(call, decision, 0, now)
 
     @handles(TokensDecided)
     def on_tokens_decided(self, event: TokensDecided, now: float) -> Iterator[Effect]:
         """Go on with a call whose token was asked for."""
-        call = self._by_call_id.get(event.ticket)
+        call = self.calls.by_call_id.get(event.ticket)
         if call is not None:
             yield from self._on_tokens(call, event.decision, event.retry_after_ms, now)
+            return
+        ended = self.calls.pop_undecided(event.ticket)
+        if ended is not None and event.decision is TokenDecision.GRANTED:
+            yield from self.accounts.give_back(ended.account, now)
 
     def _on_tokens(
         self,
@@ -198,44 +142,45 @@
         retry_after_ms: int,
         now: float,
     ) -> Iterator[Effect]:
-        if decision is TokenDecision.GRANTED:
+        if decision is TokenDecision.PENDING:
+            return
+        reason = _REASON_BY_TOKEN_DECISION.get(decision)
+        if reason is None:
+            call.has_token = True
             yield from self._claim(call, now)
-        elif decision is TokenDecision.REFUSED:
-            call.metered = None
-            yield from self._end_refused(
-                call, RefusalReason.RATE_EXCEEDED, Outcome.NOT_RUN, now, retry_after_ms
-            )
-        elif decision is TokenDecision.UNAVAILABLE:
-            call.metered = None
-            yield from self._end_refused(
-                call, RefusalReason.RATE_UNAVAILABLE, Outcome.NOT_RUN, now
-            )
+            return
+        yield from self.endings.refuse(
+            call, reason, Outcome.NOT_RUN, now, retry_after_ms
+        )
+        self.calls.pop_undecided(call.call_id)
 
     def _claim(self, call: PendingCall, now: float) -> Iterator[Effect]:
-        if call.route.is_idempotent or call.parent is not None:
-            yield from self._send(call, now)
+        call.advance("granted")
+        if not is_claim_needed(call.parent, call.route):
+            call.advance("claimed")
+            yield from self.attempts.send(call, now)
             return
-        key = call.event.headers.get(IDEMPOTENCY_KEY, "")
-        if not key:
-            reason = RefusalReason.MISSING_IDEMPOTENCY_KEY
-            yield from self._end_refused(call, reason, Outcome.NOT_RUN, now)
-            return
-        event = call.event
-        text = f"{event.method} {event.path}\n".encode()
-        fingerprint = xxhash.xxh3_128_digest(text + event.body)
-        claim = OnceClaimKey(call.account, key, fingerprint, call.route.is_durable)
+        key = call.event.headers[IDEMPOTENCY_KEY]
+        claim = OnceClaimKey(
+            call.account, key, fingerprint(call.event), call.route.is_durable
+        )
+        call.asked_claim = claim
         decision, answer, effects = self.once.claim(claim, call.call_id, now)
         yield from effects
-        if decision is OnceDecision.CLAIMED:
-            call.claim = claim
         yield from self._on_once(call, decision, answer, now)
 
     @handles(OnceDecided)
     def on_once_decided(self, event: OnceDecided, now: float) -> Iterator[Effect]:
         """Go on with a call whose once record was asked for."""
-        call = self._by_call_id.get(event.ticket)
+        call = self.calls.by_call_id.get(event.ticket)
         if call is not None:
             yield from self._on_once(call, event.decision, event.answer, now)
+            return
+        ended = self.calls.pop_undecided(event.ticket)
+        if ended is None or ended.asked_claim is None:
+            return
+        if event.decision is OnceDecision.CLAIMED:
+            yield from self.once.release(ended.asked_claim, now)
 
     def _on_once(
         self,
@@ -247,209 +192,111 @@
         if decision is OnceDecision.PENDING:
             return
         if decision is OnceDecision.CLAIMED:
-            yield from self._send(call, now)
-        elif decision is OnceDecision.ANSWERED and answer is not None:
-            self._forget(call)
-            yield ReplyToCaller(
-                call.event.exchange, answer.status, answer.headers, answer.body
-            )
-        else:
-            reason, outcome = _REASON_BY_ONCE_DECISION[decision]
-            yield from self._end_refused(call, reason, outcome, now)
-
-    def _send(self, call: PendingCall, now: float) -> Iterator[Effect]:
-        if call.deadline <= now:
-            reason = RefusalReason.DEADLINE_EXCEEDED
-            yield from self._end_refused(call, reason, Outcome.NOT_RUN, now)
-            return
-        member = self._choose(call)
-        if member is None:
-            reason = RefusalReason.NO_BACKEND_SERVER
-            yield from self._end_refused(call, reason, Outcome.NOT_RUN, now)
+            call.claim = call.asked_claim
+            call.advance("claimed")
+            yield from self.attempts.send(call, now)
             return
-        call.attempt += 1
-        call.peer = member.link_address
-        call.tried.add(member.name)
-        lent = call.credits
-        call.credits = 0
-        event = call.event
-        yield SendMessage(
-            member.link_address,
-            CallRequest(
-                request_id=call.request_id,
-                call_id=call.call_id,
-                attempt=call.attempt,
-                account=call.account,
-                route=call.route.name,
-                service=call.route.service,
-                priority=call.priority,
-                deadline_ms=int((call.deadline - now) * _MS_PER_S),
-                retry_credits=lent,
-                hops=call.hops,
-                is_idempotent=call.route.is_idempotent,
-                idempotency_key=event.headers.get(IDEMPOTENCY_KEY, ""),
-                method=event.method,
-                path=event.path,
-                headers=passed_on(event.headers),
-                body=event.body,
-                revision=self.configuration.revision,
-                is_forwarded=False,
-            ),
-        )
-
-    def _choose(self, call: PendingCall) -> Member | None:
-        catalogue = self.configuration.catalogue
-        assert catalogue is not None
-        members = [
-            member
-            for member in self.membership.members_of(call.route.service)
-            if catalogue.is_backend_server_in_service(member.name, member.data_centre)
-        ]
-        untried = [member for member in members if member.name not in call.tried]
-        candidates = untried or members
-        return self.rng.choice(candidates) if candidates else None
+        if decision is OnceDecision.ANSWERED and answer is not None:
+            yield from self.endings.answer_again(call, answer, now)
+        else:
+            reason, outcome = _REFUSAL_BY_ONCE_DECISION[decision]
+            yield from self.endings.refuse(call, reason, outcome, now)
+        self.calls.pop_undecided(call.call_id)
 
     @handles_message(CallAnswer)
     def on_answer(self, peer: str, answer: CallAnswer, now: float) -> Iterator[Effect]:
-        """Pass the whole answer to the caller."""
-        call = self._attempt_under_way(peer, answer)
+        """Pass the whole answer of an attempt under way to the caller."""
+        call = self.calls.under_way(peer, answer)
         if call is None:
-            yield Count("knapweedlead.answers.dropped")
-            return
-        call.credits += answer.unused_credits
-        if xxhash.xxh3_64_digest(answer.body) != answer.digest:
-            yield from self._retry_or_refuse(
-                call, RefusalReason.BROKEN_ANSWER, Outcome.UNKNOWN, now
-            )
-            return
-        if call.claim is not None:
-            stored = StoredAnswer(answer.status, answer.headers, answer.body)
-            yield from self.once.complete(call.claim, stored, now)
-        self._forget(call)
-        yield Count("knapweedlead.calls.answered")
-        yield ReplyToCaller(
-            call.event.exchange, answer.status, answer.headers, answer.body
-        )
+            yield _DROPPED
+        else:
+            yield from self.attempts.take_answer(call, answer, now)
 
     @handles_message(CallRefusal)
     def on_refusal(
         self, peer: str, refusal: CallRefusal, now: float
     ) -> Iterator[Effect]:
         """Try a refused call again, or pass the refusal on."""
-        call = self._attempt_under_way(peer, refusal)
+        call = self.calls.under_way(peer, refusal)
         if call is None:
-            yield Count("knapweedlead.answers.dropped")
-            return
-        call.credits += refusal.unused_credits
-        yield from self._retry_or_refuse(
-            call, RefusalReason(refusal.reason), Outcome(refusal.outcome), now
-        )
+            yield _DROPPED
+        else:
+            yield from self.attempts.take_refusal(call, refusal, now)
 
     @handles(SendFailed)
     def on_send_failed(self, event: SendFailed, now: float) -> Iterator[Effect]:
         """Try a call again whose message was never written."""
         if not isinstance(event.message, CallRequest):
             return
-        call = self._attempt_under_way(event.peer, event.message)
+        call = self.calls.under_way(event.peer, event.message)
         if call is not None:
-            call.credits += event.message.retry_credits
-            yield from self._retry_or_refuse(
-                call, RefusalReason.LINK_LOST, Outcome.NOT_RUN, now
-            )
+            yield from self.attempts.take_unsent(call, now)
 
     @handles(LinkDown)
     def on_link_down(self, event: LinkDown, now: float) -> Iterator[Effect]:
         """Give up the attempts that were sent over a lost link."""
-        lost = [call for call in self._by_call_id.values() if call.peer == event.peer]
-        for call in lost:
-            yield from self._retry_or_refuse(
+        for call in self.calls.of_peer(event.peer):
+            yield from self.attempts.fail(
                 call, RefusalReason.LINK_LOST, Outcome.UNKNOWN, now
             )
 
-    def _retry_or_refuse(
-        self, call: PendingCall, reason: RefusalReason, outcome: Outcome, now: float
-    ) -> Iterator[Effect]:
-        call.peer = ""
-        may_resend = outcome is Outcome.NOT_RUN or call.route.is_idempotent
-        if may_resend and call.credits > 0 and call.deadline > now:
-            call.credits -= 1
-            yield Count("knapweedlead.retries", (("reason", RetryReason.FAILED.value),))
-            yield from self._send(call, now)
-            return
-        yield from self._end_refused(call, reason, outcome, now)
-
     @handles(CallerGone)
     def on_caller_gone(self, event: CallerGone, now: float) -> Iterator[Effect]:
         """Cancel the work of a caller that closed its connection."""
-        call = self._by_exchange.get(event.exchange)
-        if call is None:
+        call = self.calls.by_exchange.get(event.exchange)
+        if call is not None:
+            yield from self._abandon(call, now)
+
+    @handles(RunFailed)
+    def on_run_failed(self, event: RunFailed, now: float) -> Iterator[Effect]:
+        """Cancel the child calls of a run that was lost or cancelled."""
+        for call in self.calls.of_parent(event.run):
+            yield from self._abandon(call, now)
+
+    def _abandon(self, call: PendingCall, now: float) -> Iterator[Effect]:
+        """Drop a call nobody waits for; a claimed one that was sent goes on.
+
+        Its answer is recorded, so that the caller's repeat receives it.
+        """
+        call.is_caller_gone = True
+        if call.claim is not None and call.state == UNDER_WAY:
             return
-        if call.peer:
-            yield SendMessage(
-                call.peer, CallCancel(call.request_id, call.call_id, call.attempt)
-            )
-        if call.claim is None:
-            self._forget(call)
+        if call.state == UNDER_WAY:
+            yield from self.attempts.give_up(call)
+        yield from self.endings.abandon(call, now)
 
     @handles(Tick)
     def on_tick(self, event: Tick, now: float) -> Iterator[Effect]:
-        """Refuse calls whose deadline has passed."""
-        expired = [c for c in self._by_call_id.values() if c.deadline <= now]
-        for call in expired:
-            if call.peer:
-                cancel = CallCancel(call.request_id, call.call_id, call.attempt)
-                yield SendMessage(call.peer, cancel)
-            outcome = Outcome.UNKNOWN if call.peer else Outcome.NOT_RUN
-            reason = RefusalReason.DEADLINE_EXCEEDED
-            yield from self._end_refused(call, reason, outcome, now)
-
-    def _end_refused(
-        self,
-        call: PendingCall,
-        reason: RefusalReason,
-        outcome: Outcome,
-        now: float,
-        retry_after_ms: int = 0,
+        """Refuse calls whose deadline has passed, and send due retries."""
+        for call in self.calls.expired(now):
+            yield from self.attempts.expire(call, now)
+        for call in self.calls.due_retries(now):
+            yield from self.attempts.send(call, now)
+
+    @handles(MembersChanged)
+    def on_members_changed(self, event: MembersChanged, now: float) -> Iterator[Effect]:
+        """Arrange the servers anew."""
+        by_name = self.router.membership.by_name
+        self.router.refresh(name for name in event.names if name not in by_name)
+        return iter(())
+
+    @handles(ConfigurationChanged)
+    def on_configuration_changed(
+        self, event: ConfigurationChanged, now: float
     ) -> Iterator[Effect]:
-        if call.metered is not None and outcome is Outcome.NOT_RUN:
-            yield from self.accounts.give_back(call.account, now)
-        if call.claim is not None and outcome is Outcome.NOT_RUN:
-            yield from self.once.release(call.claim, now)
-        elif call.claim is not None:
-            yield from self.once.mark_unknown(call.claim, now)
-        self._forget(call)
-        yield from _refuse(call.event, reason, outcome, retry_after_ms)
-
-    def _attempt_under_way(
-        self, peer: str, message: CallAnswer | CallRefusal | CallRequest
-    ) -> PendingCall | None:
-        call = self._by_call_id.get(message.call_id)
-        if call is None or call.peer != peer or call.attempt != message.attempt:
-            return None
-        return call if call.request_id == message.request_id else None
-
-    def _keep(self, call: PendingCall) -> None:
-        self._by_call_id[call.call_id] = call
-        self._by_exchange[call.event.exchange] = call
-
-    def _forget(self, call: PendingCall) -> None:
-        self._by_call_id.pop(call.call_id, None)
-        self._by_exchange.pop(call.event.exchange, None)
-        if call.parent is not None:
-            call.parent.credits += call.credits
-            call.credits = 0
-
-    def _deadline(self, event: CallReceived, route: Route, now: float) -> float:
-        text = event.headers.get(DEADLINE, "")
-        asked_ms = int(text) if text.isdecimal() else route.timeout_ms
-        return now + min(asked_ms, route.timeout_ms) / _MS_PER_S
+        """Refuse the calls still queued here whose key no longer works."""
+        self.router.refresh()
+        queued = [
+            call
+            for call in self.calls.by_call_id.values()
+            if call.metered is not None and call.state != UNDER_WAY
+        ]
+        for call in queued:
+            authorization = call.event.headers.get(AUTHORIZATION, "")
+            account = authenticate(event.catalogue, authorization).account
+            if account is None or account.name != call.account:
+                reason = RefusalReason.INVALID_KEY
+                yield from self.endings.refuse(call, reason, Outcome.NOT_RUN, now)
 
 
-def _refuse(
-    event: CallReceived,
-    reason: RefusalReason,
-    outcome: Outcome = Outcome.NOT_RUN,
-    retry_after_ms: int = 0,
-) -> Iterator[Effect]:
-    yield Count("knapweedlead.refusals", (("reason", reason.value),))
-    yield problem_reply(event.exchange, reason, outcome, retry_after_ms)
+_DROPPED = Count("knapweedlead.answers.dropped", (("reason", "unexpected"),))
--- /dev/null
+++ b/knapweedlead/calls/_intake.py
@@ -0,0 +1,197 @@
+"""Turns a caller's request into a pending call, or refuses it."""
+
+import itertools
+import random
+
+import attrs
+import xxhash
+from result import Err, Ok, Result
+
+from knapweedlead.accounts import authenticate
+from knapweedlead.calls._guard import GuardRole
+from knapweedlead.calls._headers import (
+    AUTHORIZATION,
+    IDEMPOTENCY_KEY,
+    PARENT,
+    passed_on,
+)
+from knapweedlead.calls._pending import PendingCall
+from knapweedlead.calls._running import RunningCall
+from knapweedlead.calls._validation import deadline_of, reason_to_refuse, trace_of
+from knapweedlead.configuration import Catalogue, ConfigurationRole, Route
+from knapweedlead.node import CallReceived
+from knapweedlead.requests import RefusalReason
+from knapweedlead.retries import RepeatLedger, RetryPolicy
+
+MAX_HOPS = 32
+"""Calls above a call at most, against loops."""
+
+_FIRST_CALL_ID_BITS = 48
+_REQUEST_ID_BITS = 128
+_REQUEST_ID_BYTES = 16
+
+
+class CallIntake:
+    """Checks and authenticates requests and gives them their bounds.
+
+    Parameters
+    ----------
+    configuration : ConfigurationRole
+        Accounts, keys and routes in force.
+    guard : GuardRole
+        Running calls of the own backend server, parents of child calls.
+    retries : RetryPolicy
+        Decides what child calls take of their parents' credits.
+    repeats : RepeatLedger
+        Credits left by requests that callers may repeat.
+    rng : random.Random
+        Source of request ids.
+    """
+
+    def __init__(
+        self,
+        configuration: ConfigurationRole,
+        guard: GuardRole,
+        retries: RetryPolicy,
+        repeats: RepeatLedger,
+        rng: random.Random,
+    ) -> None:
+        self.configuration = configuration
+        self.guard = guard
+        self.retries = retries
+        self.repeats = repeats
+        self.rng = rng
+        self._call_ids = itertools.count(1 + rng.getrandbits(_FIRST_CALL_ID_BITS))
+
+    def take(
+        self, event: CallReceived, now: float
+    ) -> Result[PendingCall, RefusalReason]:
+        """Return the pending call of a request, or why it is refused."""
+        catalogue = self.configuration.catalogue
+        if catalogue is None:
+            return Err(RefusalReason.CONFIGURATION_UNKNOWN)
+        if not self.configuration.is_fresh(now):
+            return Err(RefusalReason.CONFIGURATION_STALE)
+        route = catalogue.route_of(event.path)
+        if route is None:
+            return Err(RefusalReason.UNKNOWN_ROUTE)
+        if PARENT in event.headers:
+            return self._take_child(event, route, now)
+        return self._take_first(event, route, catalogue, now)
+
+    def _take_first(
+        self, event: CallReceived, route: Route, catalogue: Catalogue, now: float
+    ) -> Result[PendingCall, RefusalReason]:
+        account = None
+        if not route.is_open:
+            check = authenticate(catalogue, event.headers.get(AUTHORIZATION, ""))
+            if check.reason is not None:
+                return Err(check.reason)
+            account = check.account
+        reason = reason_to_refuse(event, route, not route.is_idempotent)
+        if reason is not None:
+            return Err(reason)
+        name = account.name if account else ""
+        repeat_key = _repeat_key(event, name)
+        credits = self.repeats.credits_for(repeat_key, route.retry_credits, now)
+        if credits is None:
+            return Err(RefusalReason.RETRIES_EXHAUSTED)
+        request_id = self.rng.getrandbits(_REQUEST_ID_BITS)
+        return Ok(
+            PendingCall(
+                call_id=next(self._call_ids),
+                event=event,
+                route=route,
+                account=name,
+                metered=account,
+                parent=None,
+                request_id=request_id.to_bytes(_REQUEST_ID_BYTES, "big"),
+                priority=route.priority,
+                deadline=deadline_of(event, route, now),
+                credits=credits,
+                hops=0,
+                repeat_key=repeat_key,
+                headers=passed_on(event.headers),
+            )
+        )
+
+    def _take_child(
+        self, event: CallReceived, route: Route, now: float
+    ) -> Result[PendingCall, RefusalReason]:
+        parent = self.guard.parent_of(event.headers[PARENT])
+        if parent is None:
+            return Err(RefusalReason.INVALID_PARENT)
+        reason = reason_to_refuse(event, route, is_claim_needed(parent, route))
+        if reason is not None:
+            return Err(reason)
+        request = parent.request
+        if request.hops + 1 > MAX_HOPS:
+            return Err(RefusalReason.HOP_LIMIT)
+        if not _spend_on_repeat(parent, event):
+            return Err(RefusalReason.RETRIES_EXHAUSTED)
+        policy = self.retries.credits
+        credits = policy.lent_to_child(parent.credits, route.retry_credits)
+        parent.credits = policy.left_after(parent.credits, credits)
+        return Ok(
+            PendingCall(
+                call_id=next(self._call_ids),
+                event=event,
+                route=route,
+                account=request.account,
+                metered=None,
+                parent=parent,
+                request_id=request.request_id,
+                priority=min(request.priority, route.priority),
+                deadline=min(parent.deadline, deadline_of(event, route, now)),
+                credits=credits,
+                hops=request.hops + 1,
+                headers=passed_on(event.headers),
+            )
+        )
+
+
+def is_claim_needed(parent: RunningCall | None, route: Route) -> bool:
+    """Return whether a once record must be claimed before a call is sent.
+
+    A parent that is not idempotent runs at most once, and so do its child
+    calls. An idempotent parent may run again, so that a child call under it
+    which may not needs a record of its own.
+    """
+    if route.is_idempotent:
+        return False
+    return parent is None or parent.request.is_idempotent
+
+
+def fingerprint(event: CallReceived) -> bytes:
+    """Return the digest of a request's method, path and body."""
+    text = f"{event.method} {event.path}\n".encode()
+    return xxhash.xxh3_128_digest(text + event.body)
+
+
+def child_key(event: CallReceived) -> bytes:
+    """Return what two child calls alike have in common."""
+    return event.headers.get(IDEMPOTENCY_KEY, "").encode() + fingerprint(event)
+
+
+@attrs.frozen
+class RepeatKey:
+    """What names a first call over its caller's repeats."""
+
+    account: str
+    name: str
+    fingerprint: bytes
+
+
+def _repeat_key(event: CallReceived, account: str) -> RepeatKey | None:
+    name = event.headers.get(IDEMPOTENCY_KEY) or trace_of(event)
+    return RepeatKey(account, name, fingerprint(event)) if name else None
+
+
+def _spend_on_repeat(parent: RunningCall, event: CallReceived) -> bool:
+    """Return whether a child call may be made; one that repeats costs a credit."""
+    if not parent.failed_children or child_key(event) not in parent.failed_children:
+        return True
+    if parent.credits < 1:
+        return False
+    parent.credits -= 1
+    return True
--- a/knapweedlead/calls/_running.py
+++ b/knapweedlead/calls/_running.py
@@ -23,6 +23,10 @@
         Seconds on the clock of ``now``.
     credits : int
         Retry credits not lent to child calls.
+    started_at : float
+        When it was sent to the backend server, in seconds.
+    failed_children : set of bytes
+        Fingerprints of child calls that failed; the next one alike is a retry.
     """
 
     run: int
@@ -33,6 +37,7 @@
     deadline: float
     credits: int
     started_at: float = 0.0
+    failed_children: set[bytes] = attrs.field(factory=set)
 
     @property
     def key(self) -> tuple[str, int, int]:
--- a/knapweedlead/daemon/_composition.py
+++ b/knapweedlead/daemon/_composition.py
@@ -10,6 +10,8 @@
 from knapweedlead.membership import MembershipRole
 from knapweedlead.node import Identity, Node, StoreCalls
 from knapweedlead.requests import OnceRole
+from knapweedlead.retries import RetryPolicy
+from knapweedlead.routing import Router
 from knapweedlead.settings import DaemonSettings
 
 
@@ -64,7 +66,12 @@
     accounts = AccountsRole()
     once = OnceRole()
     guard = GuardRole(identity, backend_server.slots, configuration, rng)
-    entry = EntryRole(configuration, membership, accounts, once, guard, rng)
+    routing = settings.routing
+    router = Router(identity, membership, routing.balancer, routing.ejector, rng)
+    retries = RetryPolicy(
+        routing.credit_policy, routing.backoff, routing.retry_budget, rng
+    )
+    entry = EntryRole(configuration, accounts, once, guard, router, retries, rng)
     roles = [configuration, membership, accounts, once, guard, entry]
     return Composition(
         identity=identity,
--- a/knapweedlead/routing/__init__.py
+++ b/knapweedlead/routing/__init__.py
@@ -1,1 +1,18 @@
-"""Choice of a backend server from what entries observe."""
+"""Routing: which backend server runs an attempt."""
+
+from knapweedlead.routing._balancers import BALANCERS, Balancer, cost
+from knapweedlead.routing._ejection import EJECTORS, Ejector, ejected_of
+from knapweedlead.routing._router import Router, Wanted
+from knapweedlead.routing._server import ObservedServer
+
+__all__ = [
+    "BALANCERS",
+    "EJECTORS",
+    "Balancer",
+    "Ejector",
+    "ObservedServer",
+    "Router",
+    "Wanted",
+    "cost",
+    "ejected_of",
+]
--- /dev/null
+++ b/knapweedlead/routing/_balancers.py
@@ -0,0 +1,124 @@
+"""Ways of choosing among the servers of a pool."""
+
+import random
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+from knapweedlead.registries import Registry
+from knapweedlead.routing._server import ObservedServer
+
+Accepts = Callable[[ObservedServer], bool]
+
+_SAMPLES = 4
+"""Servers looked at before a whole pool is searched."""
+_CHOICES = 2
+_MIN_LATENCY = 1e-4
+"""Seconds below which latencies are not told apart."""
+
+
+class Balancer(Protocol):
+    """Chooses one server of a pool."""
+
+    def choose(
+        self,
+        pool: Sequence[ObservedServer],
+        accepts: Accepts,
+        now: float,
+        rng: random.Random,
+    ) -> ObservedServer | None:
+        """Return a server that `accepts` holds for, or None."""
+
+
+BALANCERS: Registry[Balancer] = Registry("balancer")
+
+
+@BALANCERS.register("random")
+class RandomChoice:
+    """Baseline: any server, with equal chances."""
+
+    def choose(
+        self,
+        pool: Sequence[ObservedServer],
+        accepts: Accepts,
+        now: float,
+        rng: random.Random,
+    ) -> ObservedServer | None:
+        """Return any accepted server."""
+        accepted = [server for server in pool if accepts(server)]
+        return rng.choice(accepted) if accepted else None
+
+
+@BALANCERS.register("least_latency")
+class LeastLatency:
+    """Baseline: the server that answers fastest, failures counted as answers.
+
+    It shows the black hole: a server that fails fast draws the traffic.
+    """
+
+    def choose(
+        self,
+        pool: Sequence[ObservedServer],
+        accepts: Accepts,
+        now: float,
+        rng: random.Random,
+    ) -> ObservedServer | None:
+        """Return the accepted server with the shortest time to any result."""
+        accepted = [server for server in pool if accepts(server)]
+        if not accepted:
+            return None
+        return min(accepted, key=lambda server: (server.any_latency, rng.random()))
+
+
+@BALANCERS.register("two_choices")
+class TwoChoices:
+    """The better of two servers drawn at random, by what the entry observed."""
+
+    def choose(
+        self,
+        pool: Sequence[ObservedServer],
+        accepts: Accepts,
+        now: float,
+        rng: random.Random,
+    ) -> ObservedServer | None:
+        """Return the cheaper of two accepted servers."""
+        drawn = _draw(pool, accepts, rng)
+        if len(drawn) < _CHOICES:
+            return drawn[0] if drawn else None
+        left, right = drawn
+        typical = max(left.latency, right.latency)
+        is_left = cost(left, typical, now) <= cost(right, typical, now)
+        return left if is_left else right
+
+
+def cost(server: ObservedServer, typical: float, now: float) -> float:
+    """Return the expected cost of one more call, lower is better.
+
+    Parameters
+    ----------
+    server : ObservedServer
+        The candidate.
+    typical : float
+        Latency assumed where none was observed, in seconds.
+    now : float
+        Seconds, monotonic.
+    """
+    latency = max(server.latency or typical, _MIN_LATENCY)
+    load = (server.outstanding(now) + 1) / server.capacity(now)
+    success_share = max(1.0 - server.failure_share, 0.05)
+    return load * latency / (success_share * success_share)
+
+
+def _draw(
+    pool: Sequence[ObservedServer], accepts: Accepts, rng: random.Random
+) -> list[ObservedServer]:
+    """Return two different accepted servers, or fewer where there are fewer."""
+    size = len(pool)
+    drawn: list[ObservedServer] = []
+    for _ in range(_SAMPLES if size > _CHOICES else 0):
+        server = pool[int(rng.random() * size)]
+        if server not in drawn and accepts(server):
+            drawn.append(server)
+            if len(drawn) == _CHOICES:
+                return drawn
+    accepted = [server for server in pool if accepts(server)]
+    return accepted if len(accepted) <= _CHOICES else rng.sample(accepted, _CHOICES)
--- a/knapweedlead/settings/_schema.py
+++ b/knapweedlead/settings/_schema.py
@@ -131,9 +131,17 @@
     """Names of the policies of the entry."""
 
     balancer: str = "two_choices"
+    ejector: str = "outlier"
+    credit_policy: str = "keep_one"
+    backoff: str = "full_jitter"
+    retry_budget: str = "success_share"
 
     parameter_constraints: ClassVar[dict[str, Constraint]] = {
-        "balancer": InstanceOf(str)
+        "balancer": Choice(("least_latency", "random", "two_choices")),
+        "ejector": Choice(("none", "outlier")),
+        "credit_policy": Choice(("keep_one", "lend_all", "per_hop")),
+        "backoff": Choice(("full_jitter", "none")),
+        "retry_budget": Choice(("success_share", "unlimited")),
     }
 
 
