Retries bounded over a call tree: proof over cores

Cause: retries at each hop multiply; nothing counted the repeats of backend servers and callers. Ruled out: a limit at each hop (still multiplies), credits without escrow (a lost answer would make them twice).

--- a/knapweedlead/calls/_entry.py
+++ b/knapweedlead/calls/_entry.py
@@ -113,7 +113,8 @@
         """Authenticate a call and ask for its token."""
         taken = self.intake.take(event, now)
         if isinstance(taken, Err):
-            yield from refuse(event, taken.err_value)
+            reason = taken.err_value
+            yield from refuse(event, reason, _outcome_untaken(reason))
             return
         call = taken.ok_value
         self.calls.add(call)
@@ -300,3 +301,13 @@
 
 
 _DROPPED = Count("knapweedlead.answers.dropped", (("reason", "unexpected"),))
+
+
+def _outcome_untaken(reason: RefusalReason) -> Outcome:
+    """Return the outcome of a request that was not taken in.
+
+    A repeat too many was not run itself, but the request that it repeats may
+    have been.
+    """
+    is_repeat = reason is RefusalReason.RETRIES_EXHAUSTED
+    return Outcome.UNKNOWN if is_repeat else Outcome.NOT_RUN
--- a/knapweedlead/calls/_intake.py
+++ b/knapweedlead/calls/_intake.py
@@ -92,7 +92,7 @@
         if reason is not None:
             return Err(reason)
         name = account.name if account else ""
-        repeat_key = _repeat_key(event, name)
+        repeat_key = _repeat_key(event, name) if route.is_idempotent else None
         credits = self.repeats.credits_for(repeat_key, route.retry_credits, now)
         if credits is None:
             return Err(RefusalReason.RETRIES_EXHAUSTED)
--- a/standins/cores.py
+++ b/standins/cores.py
@@ -71,12 +71,21 @@
         Status of each answer; 0 breaks the connection instead.
     child_paths : list of str
         Paths called one after another through the own daemon.
+    is_parallel : bool
+        Whether the child calls are made at the same time.
+    child_repeats : int
+        Times that it repeats a child call that failed.
+    child_failure_status : int
+        Status of its answer after a child call failed; 0 breaks the connection.
     """
 
     slots: int = 16
     service_s: float = 0.005
     status: int = 200
     child_paths: list[str] = attrs.field(factory=list)
+    is_parallel: bool = False
+    child_repeats: int = 0
+    child_failure_status: int = 502
     journal: list[RunningRequest] = attrs.field(factory=list)
     waiting: list[RunningRequest] = attrs.field(factory=list)
     running_by_run: dict[int, RunningRequest] = attrs.field(factory=dict)
@@ -249,6 +258,12 @@
         """Lose messages between two cores, both ways."""
         self.cut_pairs |= {(left, right), (right, left)}
 
+    def drop_links(self, left: str, right: str) -> None:
+        """Break the links between two cores; messages on the way may come late."""
+        one, other = self.by_name[left], self.by_name[right]
+        self._lose_link(one, other.address, is_refused=False)
+        self._lose_link(other, one.address, is_refused=False)
+
     def heal(self) -> None:
         """End all cuts."""
         self.cut_pairs.clear()
@@ -413,17 +428,40 @@
     ) -> None:
         if request.is_cancelled or not core.is_up:
             return
+        fake = core.backend_server
         if not paths:
-            self._end(core, request, core.backend_server.status)
+            self._end(core, request, fake.status)
             return
+        group, rest = (paths, []) if fake.is_parallel else (paths[:1], paths[1:])
+        statuses: list[int] = []
+
+        def go_on(status: int) -> None:
+            statuses.append(status)
+            if len(statuses) < len(group):
+                return
+            if all(status == 200 for status in statuses):
+                self._call_children(core, request, rest)
+            else:
+                self._end(core, request, fake.child_failure_status)
+
+        for path in group:
+            self._call_child(core, request, path, fake.child_repeats, go_on)
 
-        def go_on(reply: CallerReply) -> None:
-            if reply.status == 200:
-                self._call_children(core, request, paths[1:])
+    def _call_child(
+        self,
+        core: Core,
+        request: RunningRequest,
+        path: str,
+        repeats: int,
+        go_on: Callable[[int], None],
+    ) -> None:
+        def replied(reply: CallerReply) -> None:
+            if reply.status == 200 or not repeats or request.is_cancelled:
+                go_on(reply.status or 0)
             else:
-                self._end(core, request, 502)
+                self._call_child(core, request, path, repeats - 1, go_on)
 
-        self.call(core.name, paths[0], dict(request.headers), on_reply=go_on)
+        self.call(core.name, path, dict(request.headers), on_reply=replied)
 
     def _end(self, core: Core, request: RunningRequest, status: int) -> None:
         if request.is_cancelled:
