--- a/knapweedlead/daemon/_composition.py
+++ b/knapweedlead/daemon/_composition.py
@@ -6,9 +6,10 @@
 
 from knapweedlead.accounts import AccountsRole
 from knapweedlead.calls import EntryRole, GuardRole
-from knapweedlead.configuration import ConfigurationRole
+from knapweedlead.configuration import ConfigurationRole, OperatorRole
 from knapweedlead.membership import MembershipRole
 from knapweedlead.node import Identity, Node, StoreCalls
+from knapweedlead.operators import CatalogueFeedRole
 from knapweedlead.requests import OnceRole
 from knapweedlead.retries import RetryPolicy
 from knapweedlead.routing import Router
@@ -72,7 +73,17 @@
         routing.credit_policy, routing.backoff, routing.retry_budget, rng
     )
     entry = EntryRole(configuration, accounts, once, guard, router, retries, rng)
-    roles = [configuration, membership, accounts, once, guard, entry]
+    operator = OperatorRole(identity, configuration, membership, store_calls)
+    roles = [
+        configuration,
+        membership,
+        accounts,
+        once,
+        guard,
+        entry,
+        operator,
+        CatalogueFeedRole(),
+    ]
     return Composition(
         identity=identity,
         node=Node(roles),
--- a/knapweedlead/retries/tests/test_bounded_retries.py
+++ b/knapweedlead/retries/tests/test_bounded_retries.py
@@ -103,10 +103,9 @@
 
 
 def test_loop_of_calls_ends_at_the_hop_limit():
-    chain = failing_chain(1, 0)
+    chain = failing_chain(1, 0, slots=100)
     fake = chain.cores.by_name["s00-0"].backend_server
     fake.child_paths = ["/s00/again"]
-    fake.slots = 100
     fake.status = 200
     chain.call()
     chain.cores.run_for(5.0)
