--- a/knapweedlead/daemon/_composition.py
+++ b/knapweedlead/daemon/_composition.py
@@ -11,6 +11,8 @@
 from knapweedlead.node import Identity, Node, StoreCalls
 from knapweedlead.operators import CatalogueFeedRole
 from knapweedlead.requests import OnceRole
+from knapweedlead.retries import RetryPolicy
+from knapweedlead.routing import Router
 from knapweedlead.settings import DaemonSettings
 
 
@@ -65,7 +67,12 @@
     accounts = AccountsRole()
     once = OnceRole()
     guard = GuardRole(identity, backend_server, settings.admission, configuration, rng)
-    entry = EntryRole(configuration, membership, accounts, once, guard, rng)
+    routing = settings.routing
+    router = Router(identity, membership, routing.balancer, routing.ejector, rng)
+    retries = RetryPolicy(
+        routing.credit_policy, routing.backoff, routing.retry_budget, rng
+    )
+    entry = EntryRole(configuration, accounts, once, guard, router, retries, rng)
     operator = OperatorRole(identity, configuration, membership, store_calls)
     roles = [
         configuration,
