--- a/knapweedlead/load/_generator.py
+++ b/knapweedlead/load/_generator.py
@@ -30,6 +30,7 @@
 class _Answer:
     status: int
     body: bytes
+    is_cut: bool = False
 
 
 class LoadGenerator:
@@ -54,8 +55,12 @@
             BackendServerClient(
                 target,
                 MAX_CONNECTIONS_PER_TARGET,
-                lambda run, answer: self._answered(run, answer.status, answer.body),
-                lambda run, was_sent, detail: self._answered(run, 0, detail.encode()),
+                lambda run, answer: self._answered(
+                    run, _Answer(answer.status, answer.body)
+                ),
+                lambda run, was_sent, detail: self._answered(
+                    run, _Answer(0, detail.encode(), was_sent)
+                ),
             )
             for target in plan.targets
         ]
@@ -138,15 +143,16 @@
         )
         return await waiting
 
-    def _answered(self, run: int, status: int, body: bytes) -> None:
+    def _answered(self, run: int, answer: _Answer) -> None:
         waiting = self._waiting_by_run.pop(run, None)
         if waiting is not None and not waiting.done():
-            waiting.set_result(_Answer(status, body))
+            waiting.set_result(answer)
 
     def _take_down(self, record: CallRecord, answer: _Answer) -> None:
         record.latency = self.elapsed - record.started_at
         record.status = answer.status
         record.outcome = _outcome_of(answer)
+        record.cuts += answer.is_cut
 
 
 def _outcome_of(answer: _Answer) -> str:
--- a/knapweedlead/load/_records.py
+++ b/knapweedlead/load/_records.py
@@ -25,6 +25,8 @@
         ``answered``, ``failed``, ``not_sent`` or the refusal's reason.
     retries : int
         Attempts beyond the first.
+    cuts : int
+        Attempts that were sent and lost their connection before an answer.
     """
 
     stream: str
@@ -33,3 +35,4 @@
     status: int = 0
     outcome: str = OUTCOME_FAILED
     retries: int = 0
+    cuts: int = 0
--- a/knapweedlead/load/_report.py
+++ b/knapweedlead/load/_report.py
@@ -27,6 +27,7 @@
     goodput_per_s: float
     served_share: float
     retries: int
+    cuts: int
     p50_ms: float
     p99_ms: float
     refusals_by_reason: dict[str, int]
@@ -102,6 +103,7 @@
         goodput_per_s=len(answered) / plan.duration_s,
         served_share=len(answered) / len(records) if records else 1.0,
         retries=sum(record.retries for record in records),
+        cuts=sum(record.cuts for record in records),
         p50_ms=_percentile_ms(answered, 50),
         p99_ms=_percentile_ms(answered, 99),
         refusals_by_reason=dict(reasons.most_common()),
@@ -168,6 +170,7 @@
             f"{s.goodput_per_s:.1f}",
             f"{s.served_share:.1%}",
             s.retries,
+            s.cuts,
             f"{s.p50_ms:.1f}",
             f"{s.p99_ms:.1f}",
             " ".join(f"{k}={n}" for k, n in s.refusals_by_reason.items()) or "-",
@@ -175,7 +178,7 @@
         for s in report.streams
     ]
     columns = ["stream", "account", "prio", "offered", "answered", "good/s"]
-    columns += ["served", "retries", "p50 ms", "p99 ms", "refused or failed"]
+    columns += ["served", "retries", "cut", "p50 ms", "p99 ms", "refused or failed"]
     worst = (
         f"worst-served account: {report.worst_client_account} "
         f"({report.worst_served_share:.1%} of its calls answered)"
