Rolling replacement of every instance cuts and doubles no request

Cause: a guard refused at the moment of the shutdown request, before entries could know, so that while the member replaced before was not yet known again a child call found no backend server ('draining', not_run) and the caller's repeat of the order ran at another daemon. Connections of callers were closed without an announcement, so that a request could meet the close. Ruled out: the links being cut under running calls (the guard's is_idle holds the process), retry credits spent (both servers of the service were draining).

--- a/knapweedlead/calls/_guard.py
+++ b/knapweedlead/calls/_guard.py
@@ -1,5 +1,6 @@
 """Guard role: admits calls to the own backend server."""
 
+import math
 import random
 from collections.abc import Iterable, Iterator
 
@@ -44,6 +45,10 @@
 """Time after a pause in which messages count as received before it."""
 
 
+LEAVE_NOTICE = 2.0
+"""Seconds after the shutdown request for which calls are still taken on."""
+
+
 class GuardRole(Role):
     """Admits, queues or refuses calls for the backend server beside the daemon.
 
@@ -89,10 +94,11 @@
         self._logged_state = self.control.cold_start.state
         self._woken_at: float | None = None
         self._pause = 0.0
+        self._refuses_from = math.inf
 
     @property
     def is_draining(self) -> bool:
-        """Whether new calls are refused because the daemon is stopping."""
+        """Whether the daemon is stopping and entries are told to stay away."""
         return self._work.is_draining
 
     @property
@@ -116,8 +122,13 @@
 
     @handles(ShutdownRequested)
     def on_shutdown(self, event: ShutdownRequested, now: float) -> Iterator[Effect]:
-        """Take no new calls; those taken on are finished."""
+        """Tell entries to stay away, and soon take no new calls.
+
+        Calls that entries sent before they could know are still taken on, so
+        that a stop makes no request fail while other members stop as well.
+        """
         self._work.is_draining = True
+        self._refuses_from = now + LEAVE_NOTICE
         self.control.fire("drain_requested", now)
         yield from self._note_idle(now)
 
@@ -156,7 +167,7 @@
         yield from self._work.admit(call, self._weight_of(request.account), now)
 
     def _reason_to_refuse(self, call: RunningCall, now: float) -> RefusalReason | None:
-        if self.is_draining:
+        if now >= self._refuses_from:
             return RefusalReason.DRAINING
         if self._checks is None:
             return RefusalReason.CONFIGURATION_UNKNOWN
@@ -243,7 +254,7 @@
         yield from self._note_idle(now)
 
     def _note_idle(self, now: float) -> Iterator[Effect]:
-        if self.is_draining and self.is_idle:
+        if now >= self._refuses_from and self.is_idle:
             self.control.fire("work_finished", now)
         yield from self._log_state()
 
--- a/knapweedlead/daemon/_lifecycle.py
+++ b/knapweedlead/daemon/_lifecycle.py
@@ -7,7 +7,7 @@
 from knapweedlead.statecharts import Statechart
 from knapweedlead.telemetry import get_logger
 
-LEAVE_SECONDS = 2.0
+LEAVE_SECONDS = 2.5
 """Seconds in which peers learn that the daemon leaves, while it still serves."""
 DRAIN_SECONDS = 30.0
 """Seconds that calls in flight may take to end."""
--- a/knapweedlead/daemon/_shell.py
+++ b/knapweedlead/daemon/_shell.py
@@ -131,7 +131,8 @@
         return self.callers.open_exchanges == 0 and self.node.is_idle
 
     def request_shutdown(self) -> None:
-        """Tell the node to finish its work."""
+        """Tell the node to finish its work, and callers to go elsewhere."""
+        self.callers.announce_close()
         self.report(ShutdownRequested())
 
     def report(self, event: Event) -> None:
--- a/knapweedlead/transport/_http_server.py
+++ b/knapweedlead/transport/_http_server.py
@@ -69,6 +69,7 @@
         self._protocol_by_exchange: dict[int, _CallerProtocol] = {}
         self._protocols: set[_CallerProtocol] = set()
         self._server: asyncio.Server | None = None
+        self.is_leaving = False
 
     async def start(self, address: str) -> None:
         """Listen at ``IP:PORT``."""
@@ -91,6 +92,10 @@
         """Exchanges without a reply."""
         return len(self._protocol_by_exchange)
 
+    def announce_close(self) -> None:
+        """Answer each connection's next request with ``Connection: close``."""
+        self.is_leaving = True
+
     async def stop(self) -> None:
         """Close the listener and the idle connections."""
         if self._server is not None:
@@ -200,8 +205,11 @@
 
     def reply(self, status: int, headers: dict[str, str], body: bytes) -> None:
         self.exchange = 0
+        is_last = self._is_closing or self.server.is_leaving
+        if is_last and not self._waiting:
+            headers = {**headers, "connection": "close"}
         self.transport.write(_response(status, headers, body))
-        if not self.parser.should_keep_alive() or self._is_closing:
+        if not self.parser.should_keep_alive() or (is_last and not self._waiting):
             self.transport.close()
         elif self._waiting:
             self._begin(self._waiting.pop(0))
