Keep connections to backend servers, and harden the HTTP doors

Cause: a profile showed one connection opened for each call. The parser forgets the length of an answer once it is complete, so asking it then whether the connection may be kept always said no. The question now comes with the headers. Found on the way, each failing first: an answer to HEAD waited for its time-out; a refusal overtook the reply of a request still running; a pipeline, an endless header line and a stalled request were unbounded; an offered upgrade was refused after its request had begun; a run cancelled while connecting ran all the same.

--- a/knapweedlead/transport/_http_client.py
+++ b/knapweedlead/transport/_http_client.py
@@ -1,21 +1,15 @@
 """HTTP/1.1 client for the own backend server, on httptools."""
 
 import asyncio
+import itertools
 from collections.abc import Callable
 
-import attrs
-import httptools
-
 from knapweedlead.transport._addresses import split_address
+from knapweedlead.transport._http_headers import request_bytes
+from knapweedlead.transport._http_run import HttpAnswer, RunProtocol
 
-
-@attrs.frozen
-class HttpAnswer:
-    """A whole answer; header names are lower-case."""
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
+MAX_IDLE_SECONDS = 4.0
+"""Age up to which an idle connection is used again; servers close them later."""
 
 
 class BackendServerClient:
@@ -44,11 +38,16 @@
         self.max_connections = max_connections
         self.on_answer = on_answer
         self.on_failure = on_failure
-        self._idle: list[_RunProtocol] = []
-        self._protocol_by_run: dict[int, _RunProtocol] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._idle: list[RunProtocol] = []
+        self._protocol_by_run: dict[int, RunProtocol] = {}
+        self._task_by_run: dict[int, asyncio.Task[RunProtocol]] = {}
         self._open = 0
 
+    @property
+    def open_connections(self) -> int:
+        """Connections that are open or being opened."""
+        return self._open
+
     def run(
         self,
         run: int,
@@ -58,144 +57,104 @@
         body: bytes,
         timeout: float,
     ) -> None:
-        """Send a request; `on_answer` or `on_failure` follows."""
-        data = _request(self.address, method, path, headers, body)
-        while self._idle:
-            protocol = self._idle.pop()
-            if not protocol.is_lost:
-                protocol.begin(run, data, timeout)
-                self._protocol_by_run[run] = protocol
-                return
+        """Send a request; `on_answer` or `on_failure` follows.
+
+        Parameters
+        ----------
+        run : int
+            Number of the run.
+        method, path : str
+            Of the request line.
+        headers : dict of str to str
+            Lower-case names, without those that frame the message.
+        body : bytes
+            The whole body.
+        timeout : float
+            Seconds for connecting and for the answer.
+        """
+        data = request_bytes(self.address, method, path, headers, body)
+        protocol = self._take_idle()
+        if protocol is not None:
+            self._begin(protocol, run, method, data, timeout)
+            return
         if self._open >= self.max_connections:
             self.on_failure(run, False, "connection limit")
             return
         self._open += 1
-        task = asyncio.ensure_future(self._connect(run, data, timeout))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task = asyncio.ensure_future(self._connect(timeout))
+        self._task_by_run[run] = task
+        task.add_done_callback(
+            lambda done: self._connected(done, run, method, data, timeout)
+        )
+
+    def _take_idle(self) -> RunProtocol | None:
+        oldest = asyncio.get_running_loop().time() - MAX_IDLE_SECONDS
+        while self._idle:
+            protocol = self._idle.pop()
+            if protocol.idle_since >= oldest and not protocol.is_lost:
+                return protocol
+            protocol.abort("idle")
+        return None
+
+    def _begin(
+        self, protocol: RunProtocol, run: int, method: str, data: bytes, timeout: float
+    ) -> None:
+        self._protocol_by_run[run] = protocol
+        protocol.begin(run, method == "HEAD", data, timeout)
 
-    async def _connect(self, run: int, data: bytes, timeout: float) -> None:
+    async def _connect(self, timeout: float) -> RunProtocol:
         host, port = split_address(self.address)
         loop = asyncio.get_running_loop()
-        try:
-            async with asyncio.timeout(timeout):
-                _, protocol = await loop.create_connection(
-                    lambda: _RunProtocol(self), host, port
-                )
-        except (OSError, TimeoutError) as error:
+        async with asyncio.timeout(timeout):
+            _, protocol = await loop.create_connection(
+                lambda: RunProtocol(self), host, port
+            )
+        return protocol
+
+    def _connected(
+        self,
+        task: asyncio.Task[RunProtocol],
+        run: int,
+        method: str,
+        data: bytes,
+        timeout: float,
+    ) -> None:
+        self._task_by_run.pop(run, None)
+        if task.cancelled() or task.exception() is not None:
             self._open -= 1
-            self.on_failure(run, False, type(error).__name__)
+            detail = "cancelled" if task.cancelled() else repr(task.exception())
+            self.on_failure(run, False, detail)
             return
-        self._protocol_by_run[run] = protocol
-        protocol.begin(run, data, timeout)
+        self._begin(task.result(), run, method, data, timeout)
 
     def cancel(self, run: int) -> None:
-        """Close the connection of a run."""
+        """Close the connection of a run, or give up opening it."""
         protocol = self._protocol_by_run.get(run)
         if protocol is not None:
             protocol.abort("cancelled")
+        elif run in self._task_by_run:
+            self._task_by_run[run].cancel()
 
-    def finished(self, protocol: "_RunProtocol", run: int) -> None:
+    def finished(self, protocol: RunProtocol, run: int, answer: HttpAnswer) -> None:
         """Take a connection back after a whole answer."""
         self._protocol_by_run.pop(run, None)
         if not protocol.is_lost:
             self._idle.append(protocol)
+        self.on_answer(run, answer)
 
-    def lost(self, protocol: "_RunProtocol", run: int) -> None:
-        """Take note of a closed connection."""
+    def lost(self, protocol: RunProtocol, run: int, detail: str) -> None:
+        """Take note of a closed connection, and of its run if it had one."""
         self._open -= 1
         if protocol in self._idle:
             self._idle.remove(protocol)
-        self._protocol_by_run.pop(run, None)
+        if run:
+            self._protocol_by_run.pop(run, None)
+            self.on_failure(run, True, detail)
 
     def close(self) -> None:
         """Close all connections."""
-        for protocol in [*self._idle, *self._protocol_by_run.values()]:
+        for task in list(self._task_by_run.values()):
+            task.cancel()
+        protocols = itertools.chain(self._idle, self._protocol_by_run.values())
+        for protocol in list(protocols):
             protocol.abort("closed")
-
-
-class _RunProtocol(asyncio.Protocol):
-    """One connection to the backend server, with one run at a time."""
-
-    def __init__(self, client: BackendServerClient) -> None:
-        self.client = client
-        self.transport: asyncio.Transport = None  # type: ignore[assignment]
-        self.is_lost = False
-        self.run = 0
-        self._detail = "connection lost"
-        self._timer: asyncio.TimerHandle | None = None
-        self._reset()
-
-    def _reset(self) -> None:
-        self.parser = httptools.HttpResponseParser(self)
-        self._headers: dict[str, str] = {}
-        self._body: list[bytes] = []
-        self._is_whole = False
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = transport  # type: ignore[assignment]
-
-    def begin(self, run: int, data: bytes, timeout: float) -> None:
-        self._reset()
-        self.run = run
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(timeout, self.abort, "timeout")
-        self.transport.write(data)
-
-    def abort(self, detail: str) -> None:
-        self._detail = detail
-        self.transport.abort()
-
-    def data_received(self, data: bytes) -> None:
-        if not self.run:
-            self.abort("bytes without a request")
-            return
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserError:
-            self.abort("malformed answer")
-            return
-        if self._is_whole:
-            self._end()
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
-
-    def on_body(self, body: bytes) -> None:
-        self._body.append(body)
-
-    def on_message_complete(self) -> None:
-        self._is_whole = True
-
-    def _end(self) -> None:
-        run, self.run = self.run, 0
-        self._cancel_timer()
-        answer = HttpAnswer(
-            self.parser.get_status_code(), self._headers, b"".join(self._body)
-        )
-        if not self.parser.should_keep_alive():
-            self.is_lost = True
-            self.transport.close()
-        self.client.finished(self, run)
-        self.client.on_answer(run, answer)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.is_lost = True
-        self._cancel_timer()
-        run, self.run = self.run, 0
-        self.client.lost(self, run)
-        if run:
-            self.client.on_failure(run, True, self._detail)
-
-    def _cancel_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-
-
-def _request(
-    host: str, method: str, path: str, headers: dict[str, str], body: bytes
-) -> bytes:
-    lines = [f"{method} {path} HTTP/1.1", f"host: {host}"]
-    lines += [f"{name}: {value}" for name, value in headers.items()]
-    lines.append(f"content-length: {len(body)}\r\n\r\n")
-    return "\r\n".join(lines).encode("latin-1") + body
--- a/knapweedlead/transport/_http_server.py
+++ b/knapweedlead/transport/_http_server.py
@@ -3,17 +3,16 @@
 import asyncio
 import itertools
 from collections.abc import Callable
-from http import HTTPStatus
 
 import attrs
-import httptools
 
 from knapweedlead.transport._addresses import split_address
+from knapweedlead.transport._http_caller import CallerProtocol, ParsedRequest
 
-MAX_HEADER_BYTES = 32 * 1024
-MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_CALLER_CONNECTIONS = 8192
 
-_PHRASE_BY_STATUS = {status.value: status.phrase for status in HTTPStatus}
+_SWEEP_SECONDS = 1.0
+_BACKLOG = 1024
 
 
 @attrs.frozen
@@ -52,8 +51,10 @@
     on_gone : callable
         Takes the exchange of a caller that left before its reply.
     on_bad_input : callable
-        Takes a reason, ``malformed_request`` or ``request_too_large``, and
-        returns status, headers and body of the refusal.
+        Takes a reason, ``malformed_request``, ``request_too_large`` or
+        ``overloaded``, and returns status, headers and body of the refusal.
+    max_connections : int
+        Connections beyond which a new one is refused as overloaded.
     """
 
     def __init__(
@@ -61,22 +62,26 @@
         on_request: Callable[[HttpRequest], None],
         on_gone: Callable[[int], None],
         on_bad_input: Callable[[str], tuple[int, dict[str, str], bytes]],
+        max_connections: int = MAX_CALLER_CONNECTIONS,
     ) -> None:
         self.on_request = on_request
         self.on_gone = on_gone
         self.on_bad_input = on_bad_input
+        self.max_connections = max_connections
         self._exchanges = itertools.count(1)
-        self._protocol_by_exchange: dict[int, _CallerProtocol] = {}
-        self._protocols: set[_CallerProtocol] = set()
+        self._protocol_by_exchange: dict[int, CallerProtocol] = {}
+        self._protocols: set[CallerProtocol] = set()
         self._server: asyncio.Server | None = None
+        self._sweeper: asyncio.TimerHandle | None = None
 
     async def start(self, address: str) -> None:
         """Listen at ``IP:PORT``."""
         host, port = split_address(address)
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: _CallerProtocol(self), host, port, backlog=1024
+            lambda: CallerProtocol(self), host, port, backlog=_BACKLOG
         )
+        self._sweep()
 
     def reply(
         self, exchange: int, status: int, headers: dict[str, str], body: bytes
@@ -91,17 +96,34 @@
         """Exchanges without a reply."""
         return len(self._protocol_by_exchange)
 
+    @property
+    def open_connections(self) -> int:
+        """Connections of callers."""
+        return len(self._protocols)
+
     async def stop(self) -> None:
         """Close the listener and the idle connections."""
         if self._server is not None:
             self._server.close()
+        if self._sweeper is not None:
+            self._sweeper.cancel()
         for protocol in list(self._protocols):
             protocol.close_when_idle()
 
-    def begin(self, protocol: "_CallerProtocol") -> int:
-        """Allot an exchange number to a connection."""
+    def _sweep(self) -> None:
+        """Close the connections that have stalled or idled for too long."""
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        for protocol in list(self._protocols):
+            protocol.check_timeouts(now)
+        self._sweeper = loop.call_later(_SWEEP_SECONDS, self._sweep)
+
+    def begin(self, protocol: CallerProtocol, request: ParsedRequest) -> int:
+        """Hand on a request and return the number of its exchange."""
         exchange = next(self._exchanges)
         self._protocol_by_exchange[exchange] = protocol
+        protocol.exchange = exchange
+        self.on_request(HttpRequest(exchange, *request, protocol.peer))
         return exchange
 
     def lost(self, exchange: int) -> None:
@@ -109,117 +131,11 @@
         if self._protocol_by_exchange.pop(exchange, None) is not None:
             self.on_gone(exchange)
 
-    def add(self, protocol: "_CallerProtocol") -> None:
-        """Register an open connection."""
+    def add(self, protocol: CallerProtocol) -> bool:
+        """Register an open connection; return whether there is room for it."""
         self._protocols.add(protocol)
+        return len(self._protocols) <= self.max_connections
 
-    def remove(self, protocol: "_CallerProtocol") -> None:
+    def remove(self, protocol: CallerProtocol) -> None:
         """Remove a closed connection."""
         self._protocols.discard(protocol)
-
-
-class _CallerProtocol(asyncio.Protocol):
-    """One connection; requests are answered one after another."""
-
-    def __init__(self, server: CallerServer) -> None:
-        self.server = server
-        self.transport: asyncio.Transport = None  # type: ignore[assignment]
-        self.parser = httptools.HttpRequestParser(self)
-        self.exchange = 0
-        self.peer = ""
-        self._url = b""
-        self._headers: dict[str, str] = {}
-        self._body: list[bytes] = []
-        self._size = 0
-        self._waiting: list[tuple[str, str, dict[str, str], bytes]] = []
-        self._is_closing = False
-        self._fault = ""
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = transport  # type: ignore[assignment]
-        peer = transport.get_extra_info("peername")
-        self.peer = f"{peer[0]}:{peer[1]}" if peer else "-"
-        self.server.add(self)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.server.remove(self)
-        if self.exchange:
-            self.server.lost(self.exchange)
-
-    def data_received(self, data: bytes) -> None:
-        if self._is_closing:
-            return
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse("malformed_request")
-        except httptools.HttpParserError:
-            self._refuse(self._fault or "malformed_request")
-
-    def on_message_begin(self) -> None:
-        self._url = b""
-        self._headers = {}
-        self._body = []
-        self._size = 0
-
-    def on_url(self, url: bytes) -> None:
-        self._url += url
-        self._check_size(len(url), MAX_HEADER_BYTES)
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self._check_size(len(name) + len(value), MAX_HEADER_BYTES)
-        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
-
-    def on_headers_complete(self) -> None:
-        self._size = 0
-        if self._headers.get("expect", "").lower() == "100-continue":
-            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-
-    def on_body(self, body: bytes) -> None:
-        self._check_size(len(body), MAX_BODY_BYTES)
-        self._body.append(body)
-
-    def on_message_complete(self) -> None:
-        method = self.parser.get_method().decode("latin-1")
-        path = self._url.decode("latin-1")
-        request = (method, path, self._headers, b"".join(self._body))
-        if self.exchange:
-            self._waiting.append(request)
-        else:
-            self._begin(request)
-
-    def _check_size(self, added: int, limit: int) -> None:
-        self._size += added
-        if self._size > limit:
-            self._fault = "request_too_large"
-            raise ValueError("request too large")
-
-    def _begin(self, request: tuple[str, str, dict[str, str], bytes]) -> None:
-        self.exchange = self.server.begin(self)
-        self.server.on_request(HttpRequest(self.exchange, *request, self.peer))
-
-    def reply(self, status: int, headers: dict[str, str], body: bytes) -> None:
-        self.exchange = 0
-        self.transport.write(_response(status, headers, body))
-        if not self.parser.should_keep_alive() or self._is_closing:
-            self.transport.close()
-        elif self._waiting:
-            self._begin(self._waiting.pop(0))
-
-    def close_when_idle(self) -> None:
-        self._is_closing = True
-        if not self.exchange:
-            self.transport.close()
-
-    def _refuse(self, reason: str) -> None:
-        self._is_closing = True
-        self.transport.write(_response(*self.server.on_bad_input(reason)))
-        self.transport.close()
-
-
-def _response(status: int, headers: dict[str, str], body: bytes) -> bytes:
-    phrase = _PHRASE_BY_STATUS.get(status, "")
-    lines = [f"HTTP/1.1 {status} {phrase}"]
-    lines += [f"{name}: {value}" for name, value in headers.items()]
-    lines.append(f"content-length: {len(body)}\r\n\r\n")
-    return "\r\n".join(lines).encode("latin-1") + body
