--- a/knapweedlead/daemon/_composition.py
+++ b/knapweedlead/daemon/_composition.py
@@ -6,10 +6,13 @@
 
 from knapweedlead.accounts import AccountsRole
 from knapweedlead.calls import EntryRole, GuardRole
-from knapweedlead.configuration import ConfigurationRole
+from knapweedlead.configuration import ConfigurationRole, OperatorRole
 from knapweedlead.membership import MembershipRole
 from knapweedlead.node import Identity, Node, StoreCalls
+from knapweedlead.operators import CatalogueFeedRole
 from knapweedlead.requests import OnceRole
+from knapweedlead.retries import RetryPolicy
+from knapweedlead.routing import Router
 from knapweedlead.settings import DaemonSettings
 
 
@@ -63,9 +66,24 @@
     )
     accounts = AccountsRole()
     once = OnceRole()
-    guard = GuardRole(identity, backend_server.slots, configuration, rng)
-    entry = EntryRole(configuration, membership, accounts, once, guard, rng)
-    roles = [configuration, membership, accounts, once, guard, entry]
+    guard = GuardRole(identity, backend_server, settings.admission, configuration, rng)
+    routing = settings.routing
+    router = Router(identity, membership, routing.balancer, routing.ejector, rng)
+    retries = RetryPolicy(
+        routing.credit_policy, routing.backoff, routing.retry_budget, rng
+    )
+    entry = EntryRole(configuration, accounts, once, guard, router, retries, rng)
+    operator = OperatorRole(identity, configuration, membership, store_calls)
+    roles = [
+        configuration,
+        membership,
+        accounts,
+        once,
+        guard,
+        entry,
+        operator,
+        CatalogueFeedRole(),
+    ]
     return Composition(
         identity=identity,
         node=Node(roles),
--- a/knapweedlead/settings/_schema.py
+++ b/knapweedlead/settings/_schema.py
@@ -115,14 +115,22 @@
 
 @attrs.frozen
 class AdmissionSettings:
-    """Names of the policies of the guard."""
+    """Names of the policies of the guard.
 
-    limiter: str = "static"
+    Parameters
+    ----------
+    limiter, queue, cold_start : str
+        As registered in `knapweedlead.admission`.
+    """
+
+    limiter: str = "adaptive"
     queue: str = "priority_fair"
+    cold_start: str = "ramp"
 
     parameter_constraints: ClassVar[dict[str, Constraint]] = {
         "limiter": InstanceOf(str),
         "queue": InstanceOf(str),
+        "cold_start": InstanceOf(str),
     }
 
 
@@ -131,9 +139,17 @@
     """Names of the policies of the entry."""
 
     balancer: str = "two_choices"
+    ejector: str = "outlier"
+    credit_policy: str = "keep_one"
+    backoff: str = "full_jitter"
+    retry_budget: str = "success_share"
 
     parameter_constraints: ClassVar[dict[str, Constraint]] = {
-        "balancer": InstanceOf(str)
+        "balancer": Choice(("least_latency", "random", "two_choices")),
+        "ejector": Choice(("none", "outlier")),
+        "credit_policy": Choice(("keep_one", "lend_all", "per_hop")),
+        "backoff": Choice(("full_jitter", "none")),
+        "retry_budget": Choice(("success_share", "unlimited")),
     }
 
 
--- a/standins/cores.py
+++ b/standins/cores.py
@@ -26,7 +26,9 @@
     LinkUp,
     MessageReceived,
     OpenLink,
+    OperatorCallReceived,
     ReplyToCaller,
+    ReplyToOperator,
     RunAnswered,
     RunFailed,
     RunOnBackendServer,
@@ -71,17 +73,54 @@
         Status of each answer; 0 breaks the connection instead.
     child_paths : list of str
         Paths called one after another through the own daemon.
+    is_parallel : bool
+        Whether the child calls are made at the same time.
+    child_repeats : int
+        Times that it repeats a child call that failed.
+    child_failure_status : int
+        Status of its answer after a child call failed; 0 breaks the connection.
     """
 
     slots: int = 16
     service_s: float = 0.005
     status: int = 200
     child_paths: list[str] = attrs.field(factory=list)
+    is_parallel: bool = False
+    child_repeats: int = 0
+    child_failure_status: int = 502
     journal: list[RunningRequest] = attrs.field(factory=list)
     waiting: list[RunningRequest] = attrs.field(factory=list)
     running_by_run: dict[int, RunningRequest] = attrs.field(factory=dict)
     most_running: int = 0
 
+    def work_s(self, request: RunningRequest, now: float) -> float:
+        """Return the seconds of work for a request that begins."""
+        return self.service_s
+
+    def status_of(self, request: RunningRequest) -> int:
+        """Return the status with which a request ends."""
+        return self.status
+
+
+@attrs.frozen
+class BackendServerLimits:
+    """What a daemon's settings say of the backend server beside it.
+
+    Parameters
+    ----------
+    slots, cold_slots : int
+        Calls at once, warm and cold.
+    cold_start_s : float
+        Seconds that a cold start lasts.
+    connections : int
+        Connections that it accepts.
+    """
+
+    slots: int
+    cold_slots: int
+    cold_start_s: float = 0.0
+    connections: int = 1000
+
 
 @attrs.define
 class CallerReply:
@@ -123,6 +162,7 @@
     on_reply_by_exchange: dict[int, Callable[[CallerReply], None]] = attrs.field(
         factory=dict
     )
+    reply_by_operator_exchange: dict[int, Any] = attrs.field(factory=dict)
     other_effects: list[Effect] = attrs.field(factory=list)
 
     @property
@@ -171,10 +211,16 @@
         data_centre: str = "dc1",
         region: str = "region1",
         backend_server: CoreBackendServer | None = None,
+        limits: BackendServerLimits | None = None,
         **settings: Any,
     ) -> Core:
-        """Add and start a core."""
+        """Add and start a core.
+
+        The daemon is told the limits of the fake, or others where `limits` says
+        so.
+        """
         fake = backend_server or CoreBackendServer()
+        told = limits or BackendServerLimits(fake.slots, min(4, fake.slots))
         port = FIRST_PORT + len(self.by_name)
         daemon_settings = DaemonSettings(
             name=name,
@@ -188,7 +234,11 @@
             fleet_secret="fleet-secret-of-the-cores",
             operator_credential="operator-credential-of-the-cores",
             backend_server=BackendServerSettings(
-                f"127.0.3.1:{port}", fake.slots, min(4, fake.slots), 0.0, 1000
+                f"127.0.3.1:{port}",
+                told.slots,
+                told.cold_slots,
+                told.cold_start_s,
+                told.connections,
             ),
             store=StoreSettings("127.0.4.1:8500"),
             **settings,
@@ -249,6 +299,12 @@
         """Lose messages between two cores, both ways."""
         self.cut_pairs |= {(left, right), (right, left)}
 
+    def drop_links(self, left: str, right: str) -> None:
+        """Break the links between two cores; messages on the way may come late."""
+        one, other = self.by_name[left], self.by_name[right]
+        self._lose_link(one, other.address, is_refused=False)
+        self._lose_link(other, one.address, is_refused=False)
+
     def heal(self) -> None:
         """End all cuts."""
         self.cut_pairs.clear()
@@ -289,6 +345,12 @@
         self.report(core, event)
         return reply
 
+    def operate(self, name: str, request: Any) -> int:
+        """Send an operator's request; its reply comes under the exchange returned."""
+        exchange = next(self._exchanges)
+        self.report(self.by_name[name], OperatorCallReceived(exchange, request))
+        return exchange
+
     def hang_up(self, name: str, reply: CallerReply) -> None:
         """Close a caller's connection before its reply."""
         core = self.by_name[name]
@@ -317,6 +379,8 @@
                 self._open_link(core, effect.peer)
             case ReplyToCaller():
                 self._reply(core, effect)
+            case ReplyToOperator(exchange, reply):
+                core.reply_by_operator_exchange[exchange] = reply
             case RunOnBackendServer():
                 self._run(core, effect)
             case CancelRun():
@@ -406,24 +470,47 @@
             if core.composition is composition and not request.is_cancelled:
                 self._call_children(core, request, list(fake.child_paths))
 
-        self.at(self.now + fake.service_s, work_done)
+        self.at(self.now + fake.work_s(request, self.now), work_done)
 
     def _call_children(
         self, core: Core, request: RunningRequest, paths: list[str]
     ) -> None:
         if request.is_cancelled or not core.is_up:
             return
+        fake = core.backend_server
         if not paths:
-            self._end(core, request, core.backend_server.status)
+            self._end(core, request, fake.status_of(request))
             return
+        group, rest = (paths, []) if fake.is_parallel else (paths[:1], paths[1:])
+        statuses: list[int] = []
+
+        def go_on(status: int) -> None:
+            statuses.append(status)
+            if len(statuses) < len(group):
+                return
+            if all(status == 200 for status in statuses):
+                self._call_children(core, request, rest)
+            else:
+                self._end(core, request, fake.child_failure_status)
 
-        def go_on(reply: CallerReply) -> None:
-            if reply.status == 200:
-                self._call_children(core, request, paths[1:])
+        for path in group:
+            self._call_child(core, request, path, fake.child_repeats, go_on)
+
+    def _call_child(
+        self,
+        core: Core,
+        request: RunningRequest,
+        path: str,
+        repeats: int,
+        go_on: Callable[[int], None],
+    ) -> None:
+        def replied(reply: CallerReply) -> None:
+            if reply.status == 200 or not repeats or request.is_cancelled:
+                go_on(reply.status or 0)
             else:
-                self._end(core, request, 502)
+                self._call_child(core, request, path, repeats - 1, go_on)
 
-        self.call(core.name, paths[0], dict(request.headers), on_reply=go_on)
+        self.call(core.name, path, dict(request.headers), on_reply=replied)
 
     def _end(self, core: Core, request: RunningRequest, status: int) -> None:
         if request.is_cancelled:
