--- a/knapweedlead/messages/_codec.py
+++ b/knapweedlead/messages/_codec.py
@@ -97,18 +97,39 @@
 
 def _make_unpacker(cls: type, hints: list[Any]) -> Callable[[Any], Any]:
     unpackers = [_value_unpacker(hint) for hint in hints]
-    count = len(unpackers)
+    wire_types = [_wire_type(hint) for hint in hints]
+    fields = enumerate(zip(wire_types, unpackers, strict=True))
+    inner = [
+        (index, unpacker) for index, (kind, unpacker) in fields if kind in (list, dict)
+    ]
 
     def unpack(values: Any) -> Any:
-        if type(values) not in (list, tuple) or len(values) != count:
-            raise _MalformedError(f"{cls.__name__}: expected {count} fields")
-        return cls(
-            *[unpacker(v) for unpacker, v in zip(unpackers, values, strict=True)]
-        )
+        if type(values) is not list or list(map(type, values)) != wire_types:
+            values = _unpack_each(cls, unpackers, values)
+            return cls(*values)
+        for index, unpacker in inner:
+            values[index] = unpacker(values[index])
+        return cls(*values)
 
     return unpack
 
 
+def _unpack_each(
+    cls: type, unpackers: list[Callable[[Any], Any]], values: Any
+) -> list[Any]:
+    """Unpack field by field, which names the one that does not fit."""
+    if type(values) not in (list, tuple) or len(values) != len(unpackers):
+        raise _MalformedError(f"{cls.__name__}: expected {len(unpackers)} fields")
+    return [unpacker(v) for unpacker, v in zip(unpackers, values, strict=True)]
+
+
+def _wire_type(hint: Any) -> type:
+    """Return the type that a value of a declared type has when decoded."""
+    if attrs.has(hint) or typing.get_origin(hint) is tuple:
+        return list
+    return typing.get_origin(hint) or hint
+
+
 def _value_unpacker(hint: Any) -> Callable[[Any], Any]:
     origin = typing.get_origin(hint)
     if attrs.has(hint):
@@ -156,10 +177,14 @@
     key_hint, value_hint = typing.get_args(hint)
     key_of = _value_unpacker(key_hint)
     value_of = _value_unpacker(value_hint)
+    plain = {key_hint, value_hint} if key_hint is value_hint is str else set()
 
     def unpack(by_key: Any) -> Any:
         if type(by_key) is not dict:
             raise _MalformedError(f"expected a map, got {type(by_key).__name__}")
+        if plain and plain.issuperset(map(type, by_key)):
+            if plain.issuperset(map(type, by_key.values())):
+                return by_key
         return {key_of(key): value_of(value) for key, value in by_key.items()}
 
     return unpack
