Slots: owner and backup in the store, promises between them

Cause: shared state needs one acting owner without a consensus group, through long store outages, yet with takeovers within seconds. Ruled out: one lapse time alone (a short one stops service in an outage, a long one leaves a crashed owner's slot without service for as long). Change: a slot's record names owner and backup. The owner acts within the lapse of its last confirmed renewal and within the backup's last promise; the backup takes over by compare-and-swap once its promise has lapsed. Not yet: a state machine over random failures.

--- a/knapweedlead/daemon/_composition.py
+++ b/knapweedlead/daemon/_composition.py
@@ -9,6 +9,7 @@
 from knapweedlead.configuration import ConfigurationRole
 from knapweedlead.membership import MembershipRole
 from knapweedlead.node import Identity, Node, StoreCalls
+from knapweedlead.ownership import OwnershipRole
 from knapweedlead.requests import OnceRole
 from knapweedlead.settings import DaemonSettings
 
@@ -21,6 +22,7 @@
     node: Node
     configuration: ConfigurationRole
     membership: MembershipRole
+    ownership: OwnershipRole
     accounts: AccountsRole
     once: OnceRole
     guard: GuardRole
@@ -61,16 +63,24 @@
         backend_server.connections,
         store_calls,
     )
+    ownership = OwnershipRole(
+        identity,
+        membership,
+        store_calls,
+        settings.ownership.times,
+        settings.ownership.slots,
+    )
     accounts = AccountsRole()
     once = OnceRole()
     guard = GuardRole(identity, backend_server.slots, configuration, rng)
     entry = EntryRole(configuration, membership, accounts, once, guard, rng)
-    roles = [configuration, membership, accounts, once, guard, entry]
+    roles = [configuration, membership, accounts, once, ownership, guard, entry]
     return Composition(
         identity=identity,
         node=Node(roles),
         configuration=configuration,
         membership=membership,
+        ownership=ownership,
         accounts=accounts,
         once=once,
         guard=guard,
--- a/knapweedlead/ownership/__init__.py
+++ b/knapweedlead/ownership/__init__.py
@@ -1,1 +1,33 @@
-"""Slots: fenced ownership of shared state."""
+"""Slots: who owns which part of the fleet's shared state."""
+
+from knapweedlead.ownership._events import (
+    BackupNamed,
+    SlotAcquired,
+    SlotLost,
+    SlotReleasing,
+    Takeover,
+)
+from knapweedlead.ownership._owned import OwnedSlot
+from knapweedlead.ownership._ranking import slot_of
+from knapweedlead.ownership._record import SlotRecord
+from knapweedlead.ownership._role import OwnershipRole
+from knapweedlead.ownership._times import (
+    CLOCK_MARGIN,
+    MAX_CLOCK_RATE_ERROR,
+    OwnershipTimes,
+)
+
+__all__ = [
+    "CLOCK_MARGIN",
+    "MAX_CLOCK_RATE_ERROR",
+    "BackupNamed",
+    "OwnedSlot",
+    "OwnershipRole",
+    "OwnershipTimes",
+    "SlotAcquired",
+    "SlotLost",
+    "SlotRecord",
+    "SlotReleasing",
+    "Takeover",
+    "slot_of",
+]
--- /dev/null
+++ b/knapweedlead/ownership/tests/test_slots.py
@@ -0,0 +1,172 @@
+"""A slot has at most one acting owner, and gets one again after each failure."""
+
+import pytest
+
+from knapweedlead.node import ShutdownRequested
+from knapweedlead.ownership import Takeover
+from knapweedlead.ownership.tests.fleets import (
+    NUMBER_OF_SLOTS,
+    TIMES,
+    actors,
+    all_actors,
+    clock_of,
+    fleet,
+    run_until,
+)
+
+
+def settled(seed=1, **options):
+    cores = fleet(seed, **options)
+    cores.run_for(6.0)
+    assert all(len(names) == 1 for names in all_actors(cores).values())
+    return cores
+
+
+def test_every_slot_has_one_owner_soon_after_the_start():
+    settled()
+
+
+def test_slots_spread_over_the_members_in_time():
+    cores = settled(size=6, slots=12)
+    cores.run_for(90.0)
+    owners = {names[0] for names in all_actors(cores).values()}
+    assert len(owners) >= 3
+
+
+def test_backup_takes_over_from_a_crashed_owner_while_the_store_answers():
+    cores = settled()
+    (owner,) = actors(cores, 0)
+    cores.crash(owner)
+    taken = run_until(cores, lambda: actors(cores, 0), limit=30.0)
+    assert taken < 2 * TIMES.promise_s
+    assert owner not in actors(cores, 0)
+
+
+def test_owner_cut_off_from_its_backup_stops_before_the_backup_takes_over():
+    cores = settled()
+    (owner,) = actors(cores, 0)
+    for other in cores.by_name:
+        if other != owner:
+            cores.cut(owner, other)
+    cores.cut_from_store.add(owner)
+    for _ in range(300):
+        cores.run_for(0.1)
+        assert len(actors(cores, 0)) <= 1
+    assert actors(cores, 0) != [owner]
+
+
+def test_paused_owner_does_nothing_when_it_wakes_late():
+    cores = settled()
+    (owner,) = actors(cores, 0)
+    cores.pause(owner)
+    cores.run_for(20.0)
+    assert actors(cores, 0)
+    cores.resume(owner)
+    assert owner not in actors(cores, 0)
+
+
+@pytest.mark.parametrize("minutes", [10, 60])
+def test_owners_ride_through_a_store_outage_that_the_lapse_covers(minutes):
+    times = type(TIMES)()
+    cores = settled(times=times)
+    before = all_actors(cores)
+    cores.store.mode = "down"
+    for _ in range(minutes):
+        cores.run_for(60.0)
+        assert all_actors(cores) == before
+
+
+def test_owners_stop_when_an_outage_outlasts_the_lapse_and_go_on_after_it():
+    cores = settled()
+    cores.store.mode = "down"
+    cores.run_for(TIMES.lapse_s + 1.0)
+    assert not any(all_actors(cores).values())
+    cores.store.mode = "none"
+    cores.run_for(10.0)
+    assert all(len(names) == 1 for names in all_actors(cores).values())
+
+
+def test_write_whose_answer_was_lost_is_read_back():
+    cores = fleet(3)
+    cores.store.mode = "lose_answers"
+    cores.run_for(10.0)
+    assert all(len(names) == 1 for names in all_actors(cores).values())
+
+
+def test_shutdown_hands_slots_over_at_once():
+    cores = settled()
+    (owner,) = actors(cores, 0)
+    cores.report(cores.by_name[owner], ShutdownRequested())
+    cores.run_for(0.2)
+    cores.crash(owner)
+    (successor,) = actors(cores, 0)
+    assert successor != owner
+
+
+def test_restarted_owner_without_a_backup_takes_its_slots_back():
+    cores = settled(size=1)
+    cores.crash("d0")
+    cores.run_for(1.0)
+    cores.restart("d0")
+    cores.run_for(2 * TIMES.promise_s)
+    assert all(names == ["d0"] for names in all_actors(cores).values())
+
+
+def test_owner_and_backup_lost_together_are_succeeded_after_the_lapse():
+    cores = settled()
+    (owner,) = actors(cores, 0)
+    record = cores.by_name[owner].composition.ownership.owned_by_slot[0].record
+    cores.crash(owner)
+    cores.crash(record.backup)
+    cores.run_for(TIMES.lapse_s - 10.0)
+    assert actors(cores, 0) == []
+    run_until(cores, lambda: actors(cores, 0), limit=60.0)
+
+
+def test_successor_counts_the_lapse_on_its_own_clock_with_a_margin():
+    cores = settled(size=2)
+    owned = cores.by_name["d0"].composition.ownership.owned_by_slot
+    names = all_actors(cores)
+    for name in cores.by_name:
+        cores.by_name[name].clock_rate = 1.0 if name == names[0][0] else 1.001
+    assert owned is not None
+    cores.cut("d0", "d1")
+    cores.cut_from_store.add(names[0][0])
+    for _ in range(1200):
+        cores.run_for(0.1)
+        assert all(len(acting) <= 1 for acting in all_actors(cores).values())
+
+
+def test_epoch_rises_with_each_owner():
+    cores = settled()
+    (owner,) = actors(cores, 0)
+    ownership = cores.by_name[owner].composition.ownership
+    before = ownership.owned(0, clock_of(cores, owner)).record.epoch
+    cores.crash(owner)
+    run_until(cores, lambda: actors(cores, 0), limit=30.0)
+    (successor,) = actors(cores, 0)
+    ownership = cores.by_name[successor].composition.ownership
+    assert ownership.owned(0, clock_of(cores, successor)).record.epoch > before
+
+
+def test_store_calls_of_slots_do_not_grow_with_the_fleet():
+    def calls_of(size):
+        cores = settled(size=size, times=type(TIMES)(list_s=1.0, renewal_s=5.0))
+        cores.run_for(60.0)
+        before = cores.store.calls["CompareAndSwap"]
+        cores.run_for(60.0)
+        return cores.store.calls["CompareAndSwap"] - before
+
+    small, large = calls_of(3), calls_of(12)
+    assert large <= 2 * small
+    assert small <= 60.0 / 5.0 * NUMBER_OF_SLOTS * 1.5
+
+
+def test_takeovers_name_their_evidence():
+    assert {takeover.value for takeover in Takeover} == {
+        "free",
+        "handover",
+        "backup",
+        "restart",
+        "expired",
+    }
--- a/knapweedlead/settings/_schema.py
+++ b/knapweedlead/settings/_schema.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from knapweedlead.ownership import OwnershipTimes
 from knapweedlead.parameters import Choice, Constraint, InstanceOf, Interval
 
 MAX_PORT = 65535
@@ -137,6 +138,26 @@
     }
 
 
+@attrs.frozen
+class OwnershipSettings:
+    """Slots of the fleet's shared state; the same on every daemon.
+
+    Parameters
+    ----------
+    slots : int
+        How many slots the fleet has.
+    times : OwnershipTimes
+        Times that bound the authority of an owner.
+    """
+
+    slots: int = 64
+    times: OwnershipTimes = OwnershipTimes()
+
+    parameter_constraints: ClassVar[dict[str, Constraint]] = {
+        "slots": Interval(int, 1, 4096, "slots")
+    }
+
+
 @attrs.frozen
 class TelemetrySettings:
     """Logs."""
@@ -188,6 +209,7 @@
     admission: AdmissionSettings = AdmissionSettings()
     routing: RoutingSettings = RoutingSettings()
     telemetry: TelemetrySettings = TelemetrySettings()
+    ownership: OwnershipSettings = OwnershipSettings()
 
     parameter_constraints: ClassVar[dict[str, Constraint]] = {
         "name": Name(),
