Rates of client accounts by escrowed tokens of slot owners

Cause: one bucket for each daemon admits rate and burst once per instance. Ruled out: a static share of each daemon, which refuses one hot entry. Change: the slot owner grants batches, counts what entries hold, and recalls stranded tokens; reports are idempotent by sequence; grants expire by the entry's clock from the asking; ledgers go along at a hand-over. Meters are a registry with local and divided as baselines. give_back takes the ticket.

--- a/knapweedlead/daemon/_composition.py
+++ b/knapweedlead/daemon/_composition.py
@@ -4,13 +4,16 @@
 
 import attrs
 
-from knapweedlead.accounts import AccountsRole
+from knapweedlead.accounts import AccountsRole, MeterContext
 from knapweedlead.calls import EntryRole, GuardRole
-from knapweedlead.configuration import ConfigurationRole
+from knapweedlead.configuration import ConfigurationRole, OperatorRole
 from knapweedlead.membership import MembershipRole
 from knapweedlead.node import Identity, Node, StoreCalls
+from knapweedlead.operators import CatalogueFeedRole
 from knapweedlead.ownership import OwnershipRole
 from knapweedlead.requests import OnceRole
+from knapweedlead.retries import RetryPolicy
+from knapweedlead.routing import Router
 from knapweedlead.settings import DaemonSettings
 
 
@@ -70,11 +73,31 @@
         settings.ownership.times,
         settings.ownership.slots,
     )
-    accounts = AccountsRole()
+    accounts = AccountsRole(
+        configuration,
+        MeterContext(identity, membership, ownership),
+        settings.accounts.meter,
+    )
     once = OnceRole()
-    guard = GuardRole(identity, backend_server.slots, configuration, rng)
-    entry = EntryRole(configuration, membership, accounts, once, guard, rng)
-    roles = [configuration, membership, accounts, once, ownership, guard, entry]
+    guard = GuardRole(identity, backend_server, settings.admission, configuration, rng)
+    routing = settings.routing
+    router = Router(identity, membership, routing.balancer, routing.ejector, rng)
+    retries = RetryPolicy(
+        routing.credit_policy, routing.backoff, routing.retry_budget, rng
+    )
+    entry = EntryRole(configuration, accounts, once, guard, router, retries, rng)
+    operator = OperatorRole(identity, configuration, membership, store_calls)
+    roles = [
+        configuration,
+        membership,
+        accounts,
+        once,
+        ownership,
+        guard,
+        entry,
+        operator,
+        CatalogueFeedRole(),
+    ]
     return Composition(
         identity=identity,
         node=Node(roles),
--- a/knapweedlead/ownership/__init__.py
+++ b/knapweedlead/ownership/__init__.py
@@ -7,6 +7,7 @@
     SlotReleasing,
     Takeover,
 )
+from knapweedlead.ownership._messages import SlotHint
 from knapweedlead.ownership._owned import OwnedSlot
 from knapweedlead.ownership._ranking import slot_of
 from knapweedlead.ownership._record import SlotRecord
@@ -25,6 +26,7 @@
     "OwnershipRole",
     "OwnershipTimes",
     "SlotAcquired",
+    "SlotHint",
     "SlotLost",
     "SlotRecord",
     "SlotReleasing",
--- a/knapweedlead/ownership/tests/fleets.py
+++ b/knapweedlead/ownership/tests/fleets.py
@@ -33,14 +33,15 @@
     seed: int,
     size: int = 3,
     slots: int = NUMBER_OF_SLOTS,
-    times: OwnershipTimes = TIMES,
+    times: OwnershipTimes | None = TIMES,
+    cls: type[Any] = SharedStateCores,
     **settings: Any,
-) -> SharedStateCores:
+) -> Any:
     """Return cores named d0, d1, ... over three data centres, not yet run."""
-    cores = SharedStateCores(seed=seed)
+    cores = cls(seed=seed)
     for number in range(size):
         data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
-        ownership = OwnershipSettings(slots, times)
+        ownership = OwnershipSettings(slots, times or OwnershipTimes())
         cores.add(f"d{number}", "svc", data_centre, ownership=ownership, **settings)
     return cores
 
--- a/knapweedlead/settings/__init__.py
+++ b/knapweedlead/settings/__init__.py
@@ -2,6 +2,7 @@
 
 from knapweedlead.settings._loader import build_settings, load_settings
 from knapweedlead.settings._schema import (
+    Address,
     AdmissionSettings,
     BackendServerSettings,
     DaemonSettings,
@@ -12,6 +13,8 @@
 )
 
 __all__ = [
+    "AccountsSettings",
+    "Address",
     "AdmissionSettings",
     "BackendServerSettings",
     "DaemonSettings",
--- a/knapweedlead/settings/_schema.py
+++ b/knapweedlead/settings/_schema.py
@@ -116,14 +116,22 @@
 
 @attrs.frozen
 class AdmissionSettings:
-    """Names of the policies of the guard."""
+    """Names of the policies of the guard.
 
-    limiter: str = "static"
+    Parameters
+    ----------
+    limiter, queue, cold_start : str
+        As registered in `knapweedlead.admission`.
+    """
+
+    limiter: str = "adaptive"
     queue: str = "priority_fair"
+    cold_start: str = "ramp"
 
     parameter_constraints: ClassVar[dict[str, Constraint]] = {
         "limiter": InstanceOf(str),
         "queue": InstanceOf(str),
+        "cold_start": InstanceOf(str),
     }
 
 
@@ -132,12 +140,29 @@
     """Names of the policies of the entry."""
 
     balancer: str = "two_choices"
+    ejector: str = "outlier"
+    credit_policy: str = "keep_one"
+    backoff: str = "full_jitter"
+    retry_budget: str = "success_share"
 
     parameter_constraints: ClassVar[dict[str, Constraint]] = {
-        "balancer": InstanceOf(str)
+        "balancer": Choice(("least_latency", "random", "two_choices")),
+        "ejector": Choice(("none", "outlier")),
+        "credit_policy": Choice(("keep_one", "lend_all", "per_hop")),
+        "backoff": Choice(("full_jitter", "none")),
+        "retry_budget": Choice(("success_share", "unlimited")),
     }
 
 
+@attrs.frozen
+class AccountsSettings:
+    """Name of the policy that meters client accounts."""
+
+    meter: str = "escrowed"
+
+    parameter_constraints: ClassVar[dict[str, Constraint]] = {"meter": InstanceOf(str)}
+
+
 @attrs.frozen
 class OwnershipSettings:
     """Slots of the fleet's shared state; the same on every daemon.
@@ -210,6 +235,7 @@
     routing: RoutingSettings = RoutingSettings()
     telemetry: TelemetrySettings = TelemetrySettings()
     ownership: OwnershipSettings = OwnershipSettings()
+    accounts: AccountsSettings = AccountsSettings()
 
     parameter_constraints: ClassVar[dict[str, Constraint]] = {
         "name": Name(),
