--- a/standins/cores.py
+++ b/standins/cores.py
@@ -202,7 +202,7 @@
         self.messages_sent = 0
         self.delay_of: Callable[[Core, Core], float] = lambda a, b: self.delay
         self._by_address: dict[str, Core] = {}
-        self._agenda: list[tuple[float, int, Callable[[], None]]] = []
+        self._agenda: list[tuple[float, int, Callable[[], object]]] = []
         self._order = itertools.count()
         self._exchanges = itertools.count(1)
 
@@ -312,7 +312,7 @@
         self.cut_pairs.clear()
         self.cut_from_store.clear()
 
-    def at(self, time: float, action: Callable[[], None]) -> None:
+    def at(self, time: float, action: Callable[[], object]) -> None:
         """Do something at a time."""
         heapq.heappush(self._agenda, (time, next(self._order), action))
 
