--- /dev/null
+++ b/knapweedlead/accounts/tests/metered.py
@@ -0,0 +1,141 @@
+"""Fleets whose cores take tokens, and the check of the rate."""
+
+import functools
+import itertools
+from collections.abc import Iterable
+from typing import Any
+
+import attrs
+
+from knapweedlead.accounts import TokenDecision, TokensDecided
+from knapweedlead.configuration import Catalogue, ClientAccount
+from knapweedlead.node import Count, Effect, Event, Node, Role, handles
+from knapweedlead.ownership.tests.fleets import (
+    SharedStateCores,
+    clock_of,
+    fleet,
+)
+
+
+@attrs.frozen
+class TakeAsked(Event):
+    """A test asks a core for a token."""
+
+    account: ClientAccount
+    ticket: int
+
+
+@attrs.define
+class Take:
+    """One request for a token and its decision."""
+
+    core: str
+    asked_at: float
+    decision: TokenDecision = TokenDecision.PENDING
+    decided_at: float = 0.0
+
+
+class TakerRole(Role):
+    """Takes tokens on the tests' behalf."""
+
+    def __init__(self, accounts: Any, decide: Any) -> None:
+        self.accounts = accounts
+        self.decide = decide
+
+    @handles(TakeAsked)
+    def on_take(self, event: TakeAsked, now: float) -> Iterable[Effect]:
+        decision, effects = self.accounts.take(event.account, event.ticket, now)
+        if decision is not TokenDecision.PENDING:
+            self.decide(event.ticket, decision)
+        return [*effects, Count("taken")]
+
+    @handles(TokensDecided)
+    def on_decided(self, event: TokensDecided, now: float) -> Iterable[Effect]:
+        self.decide(event.ticket, event.decision)
+        return []
+
+
+class MeteredCores(SharedStateCores):
+    """Cores that take tokens and keep every decision."""
+
+    def __init__(self, seed: int = 0) -> None:
+        super().__init__(seed)
+        self.account = ClientAccount("crew", 10.0, 10.0)
+        self.take_by_ticket: dict[int, Take] = {}
+        self._tickets = itertools.count(1)
+
+    def _compose(self, settings: Any) -> Any:
+        composition = super()._compose(settings)
+        composition.configuration.catalogue = self._catalogue()
+        taker = TakerRole(composition.accounts, self._decide)
+        return attrs.evolve(composition, node=Node([*composition.node.roles, taker]))
+
+    def _catalogue(self) -> Catalogue:
+        return Catalogue(1, {"client_accounts": {self.account.name: self.account}})
+
+    def set_account(self, rate_per_s: float, burst: float) -> None:
+        """Put other terms in force everywhere."""
+        self.account = ClientAccount("crew", rate_per_s, burst)
+        for core in self.by_name.values():
+            core.composition.configuration.catalogue = self._catalogue()
+
+    def _decide(self, ticket: int, decision: TokenDecision) -> None:
+        take = self.take_by_ticket[ticket]
+        take.decision = decision
+        take.decided_at = self.now
+
+    def take(self, name: str) -> Take:
+        """Ask a core for a token."""
+        ticket = next(self._tickets)
+        take = Take(name, self.now)
+        self.take_by_ticket[ticket] = take
+        self.report(self.by_name[name], TakeAsked(self.account, ticket))
+        return take
+
+    def clock(self, name: str) -> float:
+        """Return what the clock of a core reads."""
+        return clock_of(self, name)
+
+    def granted_at(self) -> list[float]:
+        """Return when tokens were spent, in order."""
+        return sorted(
+            take.decided_at
+            for take in self.take_by_ticket.values()
+            if take.decision is TokenDecision.GRANTED
+        )
+
+    def count(self, decision: TokenDecision) -> int:
+        """Return how many takes had a decision."""
+        return sum(t.decision is decision for t in self.take_by_ticket.values())
+
+
+def metered(
+    seed: int, size: int = 3, rate: float = 10.0, burst: float = 10.0, **options: Any
+) -> MeteredCores:
+    """Return cores whose slots have owners."""
+    cores = fleet(seed, size, cls=MeteredCores, **options)
+    cores.set_account(rate, burst)
+    cores.run_for(6.0)
+    return cores
+
+
+def most_over_rate(times: list[float], rate: float) -> float:
+    """Return the largest of (spent in a window - rate x window) over all windows.
+
+    The worst window begins and ends with a spending, so one pass that keeps the
+    best beginning suffices.
+    """
+    worst = 0.0
+    best_start = float("-inf")
+    for index, time in enumerate(times):
+        best_start = max(best_start, rate * time - index)
+        worst = max(worst, index + 1 - rate * time + best_start)
+    return worst
+
+
+def offer(cores: MeteredCores, names: list[str], per_s: float, seconds: float) -> None:
+    """Take tokens at a steady pace, at the given cores by turns."""
+    for index in range(int(per_s * seconds)):
+        name = names[index % len(names)]
+        cores.at(cores.now + index / per_s, functools.partial(cores.take, name))
+    cores.run_for(seconds)
--- /dev/null
+++ b/knapweedlead/accounts/tests/test_rates.py
@@ -0,0 +1,147 @@
+"""An account gets its rate and burst over all instances, and never more."""
+
+import pytest
+
+from knapweedlead.accounts import TokenDecision
+from knapweedlead.accounts.tests.metered import metered, most_over_rate, offer
+from knapweedlead.node import ShutdownRequested
+from knapweedlead.ownership import slot_of
+from knapweedlead.ownership.tests.fleets import run_until
+
+SLACK = 1e-6
+
+
+def owner_of(cores):
+    slot = slot_number(cores)
+    names = [
+        name
+        for name, core in cores.by_name.items()
+        if core.is_up and core.composition.ownership.owned(slot, cores.clock(name))
+    ]
+    return names[0] if names else None
+
+
+def slot_number(cores):
+    ownership = next(iter(cores.by_name.values())).composition.ownership
+    return slot_of("account/crew", ownership.number_of_slots)
+
+
+def assert_within_rate(cores, rate=10.0, burst=10.0):
+    assert most_over_rate(cores.granted_at(), rate) <= burst + SLACK
+
+
+def test_worst_window_is_found():
+    assert most_over_rate([0.0, 0.0, 1.0], rate=1.0) == 2.0
+    assert most_over_rate([0.0, 5.0, 5.0, 5.1], rate=1.0) == pytest.approx(2.9)
+
+
+def test_demand_above_the_rate_gets_the_rate_and_no_more():
+    cores = metered(1)
+    offer(cores, list(cores.by_name), per_s=50.0, seconds=20.0)
+    assert_within_rate(cores)
+    assert len(cores.granted_at()) >= 0.95 * (10 + 10 * 20)
+
+
+def test_demand_within_the_rate_is_not_refused():
+    cores = metered(2)
+    offer(cores, list(cores.by_name), per_s=9.0, seconds=20.0)
+    assert cores.count(TokenDecision.REFUSED) == 0
+    assert cores.count(TokenDecision.UNAVAILABLE) == 0
+
+
+def test_idle_account_has_its_whole_burst_at_once_at_any_entry():
+    cores = metered(3)
+    offer(cores, ["d0"], per_s=9.0, seconds=3.0)
+    cores.run_for(3.0)
+    for _ in range(10):
+        cores.take("d1")
+    cores.run_for(0.5)
+    assert cores.count(TokenDecision.REFUSED) == 0
+
+
+def test_crash_of_the_slot_owner_makes_no_tokens():
+    cores = metered(4)
+    offer(cores, list(cores.by_name), per_s=50.0, seconds=3.0)
+    cores.crash(owner_of(cores))
+    names = [name for name, core in cores.by_name.items() if core.is_up]
+    offer(cores, names, per_s=50.0, seconds=20.0)
+    assert_within_rate(cores)
+    assert cores.granted_at()[-1] > cores.now - 1.0
+
+
+def test_hand_over_of_the_slot_keeps_the_tokens():
+    cores = metered(5)
+    owner = owner_of(cores)
+    offer(cores, list(cores.by_name), per_s=9.0, seconds=3.0)
+    cores.report(cores.by_name[owner], ShutdownRequested())
+    offer(cores, list(cores.by_name), per_s=9.0, seconds=10.0)
+    assert owner_of(cores) != owner
+    assert cores.count(TokenDecision.REFUSED) == 0
+    assert cores.count(TokenDecision.UNAVAILABLE) == 0
+    assert_within_rate(cores)
+
+
+def test_paused_entry_does_not_spend_old_tokens_when_it_wakes():
+    cores = metered(6)
+    entry = next(name for name in cores.by_name if name != owner_of(cores))
+    offer(cores, [entry], per_s=9.0, seconds=3.0)
+    cores.pause(entry)
+    for _ in range(20):
+        cores.take(entry)
+    others = [name for name in cores.by_name if name != entry]
+    offer(cores, others, per_s=50.0, seconds=10.0)
+    cores.resume(entry)
+    cores.run_for(2.0)
+    assert_within_rate(cores)
+
+
+def test_token_given_back_in_time_is_spent_again():
+    cores = metered(7, rate=0.0, burst=1.0)
+    cores.take("d0")
+    cores.run_for(0.05)
+    assert cores.count(TokenDecision.GRANTED) == 1
+    accounts = cores.by_name["d0"].composition.accounts
+    assert accounts.give_back("crew", cores.clock("d0"), 1) == []
+    cores.take("d0")
+    cores.run_for(0.5)
+    assert cores.count(TokenDecision.GRANTED) == 2
+
+
+def test_token_given_back_after_its_spending_was_reported_is_lost():
+    cores = metered(8, rate=0.0, burst=1.0)
+    cores.take("d0")
+    cores.run_for(2.0)
+    cores.by_name["d0"].composition.accounts.give_back("crew", cores.clock("d0"), 1)
+    cores.take("d0")
+    cores.run_for(0.5)
+    assert cores.count(TokenDecision.GRANTED) == 1
+
+
+def test_lower_rate_holds_from_its_change_on():
+    cores = metered(9, rate=20.0, burst=20.0)
+    offer(cores, list(cores.by_name), per_s=50.0, seconds=5.0)
+    cores.set_account(5.0, 5.0)
+    changed = cores.now
+    offer(cores, list(cores.by_name), per_s=50.0, seconds=10.0)
+    assert_within_rate(cores, 20.0, 20.0)
+    after = [time for time in cores.granted_at() if time > changed]
+    assert most_over_rate(after, 5.0) <= 20.0 + SLACK
+
+
+def test_entries_go_on_through_ten_minutes_without_the_store():
+    cores = metered(10, times=None)
+    cores.store.mode = "down"
+    cores.run_for(600.0)
+    before = cores.count(TokenDecision.GRANTED)
+    offer(cores, list(cores.by_name), per_s=9.0, seconds=5.0)
+    assert cores.count(TokenDecision.GRANTED) - before == 45
+
+
+def test_unreachable_owner_is_answered_as_unavailable():
+    cores = metered(11, size=2)
+    owner = owner_of(cores)
+    (entry,) = [name for name in cores.by_name if name != owner]
+    cores.cut(owner, entry)
+    cores.cut_from_store |= {owner, entry}
+    cores.take(entry)
+    run_until(cores, lambda: cores.count(TokenDecision.UNAVAILABLE), limit=2.0)
