--- /dev/null
+++ b/knapweedlead/calls/tests/test_refusals_true.py
@@ -0,0 +1,175 @@
+"""A refusal that says not run is true; what may not repeat runs at most once."""
+
+import json
+from collections import Counter
+
+import attrs
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from standins.chains import CALLER, WARM_UP, apply, catalogue, route
+from standins.cores import CallerReply, CoreBackendServer, Cores
+
+SERVERS = {"front": 3, "back": 2}
+ENTRIES = ("front-0", "front-1", "back-0")
+FAULTS = ("cut", "drop_links", "pause", "crash", "break_backend_server", "outage")
+FAULT_SECONDS = 0.8
+
+
+@attrs.define
+class Sent:
+    """A request that a fake caller sent once."""
+
+    key: str
+    reply: CallerReply
+    is_idempotent: bool
+
+
+def build(seed, loss):
+    cores = Cores(seed)
+    routes = [
+        route("front", timeout_ms=1500, retry_credits=3, is_idempotent=False),
+        route("back", timeout_ms=1500, retry_credits=3, is_idempotent=False),
+        route("read", service="front", timeout_ms=1500, retry_credits=3),
+    ]
+    apply(cores, catalogue(routes))
+    for service, count in SERVERS.items():
+        paths = ["/back/part"] if service == "front" else []
+        for number in range(count):
+            fake = CoreBackendServer(slots=3, service_s=0.03, child_paths=paths)
+            cores.add(f"{service}-{number}", service, backend_server=fake)
+    cores.run_for(WARM_UP)
+    cores.loss = loss
+    return cores
+
+
+def crash(cores, name):
+    if cores.by_name[name].is_up:
+        cores.crash(name)
+        cores.at(cores.now + FAULT_SECONDS, lambda: cores.restart(name))
+
+
+def inject(cores, kind, name, other):
+    core = cores.by_name[name]
+    if kind == "cut":
+        cores.cut(name, other)
+        cores.at(cores.now + FAULT_SECONDS, cores.heal)
+    elif kind == "drop_links":
+        cores.drop_links(name, other)
+    elif kind == "pause" and core.is_up and not core.is_paused:
+        cores.pause(name)
+        cores.at(cores.now + FAULT_SECONDS, lambda: core.is_up and cores.resume(name))
+    elif kind == "crash":
+        crash(cores, name)
+    elif kind == "outage":
+        for number in range(SERVERS["front"]):
+            crash(cores, f"front-{number}")
+    elif kind == "break_backend_server":
+        core.backend_server.status = 0
+        cores.at(
+            cores.now + FAULT_SECONDS,
+            lambda: setattr(core.backend_server, "status", 200),
+        )
+
+
+def run(seed, loss, faults, count=60):
+    cores = build(seed, loss)
+    start = cores.now
+    for delay, kind, first, second in faults:
+        names = sorted(cores.by_name)
+        name, other = names[first % len(names)], names[second % len(names)]
+        if name != other:
+            cores.at(
+                start + delay,
+                lambda k=kind, n=name, o=other: inject(cores, k, n, o),
+            )
+    sent = []
+
+    def send(number):
+        is_read = number % 3 == 0
+        key = f"key-{seed}-{number}"
+        headers = {**CALLER, "idempotency-key": key}
+        path = "/read/x" if is_read else "/front/x"
+        entry = ENTRIES[number % len(ENTRIES)]
+        if cores.by_name[entry].is_up:
+            reply = cores.call(entry, path, headers, "GET" if is_read else "POST")
+            sent.append(Sent(key, reply, is_read))
+
+    for number in range(count):
+        cores.at(start + number * 0.05, lambda n=number: send(n))
+    cores.run_for(count * 0.05 + 5.0)
+    return cores, sent
+
+
+def runs_by_key(cores, service):
+    return Counter(
+        request.headers.get("idempotency-key")
+        for core in cores.by_name.values()
+        if core.settings.service == service
+        for request in core.backend_server.journal
+    )
+
+
+def check(cores, sent):
+    fronts = runs_by_key(cores, "front")
+    backs = runs_by_key(cores, "back")
+    for one in sent:
+        if one.reply.status and one.reply.status >= 400 and one.reply.body[:1] == b"{":
+            document = json.loads(one.reply.body)
+            if document["outcome"] == "not_run":
+                assert fronts[one.key] == 0, document
+        if not one.is_idempotent:
+            assert fronts[one.key] <= 1
+            assert backs[one.key] <= 1
+        if one.reply.status == 200:
+            assert fronts[one.key] >= 1
+
+
+FAULT = st.tuples(
+    st.floats(0, 3), st.sampled_from(FAULTS), st.integers(0, 4), st.integers(0, 4)
+)
+
+
+@settings(max_examples=40, deadline=None, suppress_health_check=[HealthCheck.too_slow])
+@given(
+    seed=st.integers(0, 2**32),
+    loss=st.sampled_from([0.0, 0.02, 0.1]),
+    faults=st.lists(FAULT, max_size=10),
+)
+def test_refusals_agree_with_the_journals_under_faults(seed, loss, faults):
+    cores, sent = run(seed, loss, faults)
+    check(cores, sent)
+
+
+def test_faults_of_the_sweep_cause_refusals_of_both_outcomes():
+    outcomes = Counter()
+    for seed in range(6):
+        faults = [(0.3 * n, FAULTS[n % 6], n + seed, n + seed + 1) for n in range(9)]
+        cores, sent = run(seed, 0.02, faults)
+        check(cores, sent)
+        for one in sent:
+            if one.reply.body[:1] == b"{":
+                outcomes[json.loads(one.reply.body)["outcome"]] += 1
+            else:
+                outcomes[one.reply.status] += 1
+    assert outcomes["not_run"] > 0
+    assert outcomes["unknown"] > 0
+    assert outcomes[200] > 100
+
+
+def test_not_run_after_an_attempt_that_was_lost_is_reported_as_unknown():
+    cores = build(5, 0.0)
+    cores.loss = 0.0
+    core = cores.by_name["front-0"]
+    for server in ("front-0", "front-1", "front-2"):
+        cores.by_name[server].backend_server.status = 0
+        cores.by_name[server].backend_server.child_failure_status = 0
+    reply = cores.call("back-0", "/read/x", {**CALLER})
+    cores.run_for(0.04)
+    for name in ("front-0", "front-1", "front-2"):
+        if cores.by_name[name] is not core:
+            cores.crash(name)
+    cores.crash("front-0")
+    cores.run_for(3.0)
+    assert runs_by_key(cores, "front")[None] >= 1
+    assert json.loads(reply.body)["outcome"] == "unknown"
--- a/standins/cores.py
+++ b/standins/cores.py
@@ -171,6 +171,8 @@
         self.cut_from_store: set[str] = set()
         self.messages_sent = 0
         self.delay_of: Callable[[Core, Core], float] = lambda a, b: self.delay
+        self.alter: Callable[[Any], list[Any]] = lambda message: [message]
+        """Messages that arrive in place of one that was sent."""
         self._by_address: dict[str, Core] = {}
         self._agenda: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
@@ -381,8 +383,10 @@
         self._open_link(core, peer)
         if (core.name, other.name) in self.cut_pairs or self.rng.random() < self.loss:
             return
-        event = MessageReceived(core.address, message)
-        self.at(self.now + self.delay_of(core, other), self._reporting(other, event))
+        for arriving in self.alter(message):
+            event = MessageReceived(core.address, arriving)
+            at = self.now + self.delay_of(core, other)
+            self.at(at, self._reporting(other, event))
 
     def _open_link(self, core: Core, peer: str) -> None:
         other = self._by_address.get(peer)
