--- a/knapweedlead/routing/_balancers.py
+++ b/knapweedlead/routing/_balancers.py
@@ -85,7 +85,8 @@
         if len(drawn) < _CHOICES:
             return drawn[0] if drawn else None
         left, right = drawn
-        typical = max(left.latency, right.latency)
+        known = [server.latency for server in drawn if server.latency]
+        typical = min(known, default=_MIN_LATENCY)
         is_left = cost(left, typical, now) <= cost(right, typical, now)
         return left if is_left else right
 
@@ -98,13 +99,13 @@
     server : ObservedServer
         The candidate.
     typical : float
-        Latency assumed where none was observed, in seconds.
+        Latency of the servers that answer, in seconds.
     now : float
         Seconds, monotonic.
     """
-    latency = max(server.latency or typical, _MIN_LATENCY)
+    latency = max(server.expected_latency(typical, now), _MIN_LATENCY)
     load = (server.outstanding(now) + 1) / server.capacity(now)
-    success_share = max(1.0 - server.failure_share, 0.05)
+    success_share = max(1.0 - server.recent_failure_share(now), 0.05)
     return load * latency / (success_share * success_share)
 
 
--- a/knapweedlead/routing/_ejection.py
+++ b/knapweedlead/routing/_ejection.py
@@ -110,7 +110,7 @@
             self._note_probe(server, is_failure, now)
             return
         is_suspected = server.state == HEALTHY and is_failure
-        if is_suspected and self._is_outlier(server, servers):
+        if is_suspected and self._is_outlier(server, servers, now):
             self._eject(server, servers, now)
 
     def due_probe(
@@ -130,14 +130,15 @@
         return now >= server.ejected_until + patience
 
     def _is_outlier(
-        self, server: ObservedServer, servers: Sequence[ObservedServer]
+        self, server: ObservedServer, servers: Sequence[ObservedServer], now: float
     ) -> bool:
-        if server.results < _MIN_RESULTS or server.failure_share < self.failure_share:
-            return False
-        others = [other.failure_share for other in servers if other is not server]
-        if not others:
+        share = server.recent_failure_share(now)
+        if server.results < _MIN_RESULTS or share < self.failure_share:
             return False
-        return server.failure_share - sum(others) / len(others) >= self.margin
+        others = [
+            other.recent_failure_share(now) for other in servers if other is not server
+        ]
+        return bool(others) and share - sum(others) / len(others) >= self.margin
 
     def _eject(
         self, server: ObservedServer, servers: Sequence[ObservedServer], now: float
--- a/knapweedlead/routing/_router.py
+++ b/knapweedlead/routing/_router.py
@@ -163,7 +163,7 @@
         self, server: ObservedServer, is_failure: bool, latency: float, now: float
     ) -> None:
         self._note_returned(server)
-        server.note_result(is_failure, latency)
+        server.note_result(is_failure, latency, now)
         view = self._view_by_service.get(server.member.service)
         if view is None or (server.state == HEALTHY and not is_failure):
             return
--- a/knapweedlead/routing/_server.py
+++ b/knapweedlead/routing/_server.py
@@ -21,6 +21,11 @@
 EXEMPT_PRIORITY = 0
 """Priority that is always sent on, whatever a report says."""
 
+HALF_LIFE = 5.0
+"""Seconds after which a past failure or slow answer counts half."""
+FORGOTTEN_SHARE = 0.01
+"""Failure share below which a server counts as sound."""
+
 _SMOOTHING = 0.2
 """Weight of the newest result in the moving averages."""
 _HOLD_BASE = 0.05
@@ -46,6 +51,8 @@
         The same over all results, failures included.
     failure_share : float
         Moving average of failures among its results, from 0 to 1.
+    result_at : float
+        When the last result came, in seconds.
     results : int
         Results since it was last healthy.
     state : str
@@ -72,6 +79,7 @@
     latency: float = 0.0
     any_latency: float = 0.0
     failure_share: float = 0.0
+    result_at: float = 0.0
     results: int = 0
     state: str = CHART.initial
     ejected_until: float = 0.0
@@ -157,7 +165,24 @@
         self.holds = self.holds + 1 if is_refused else 0
         self.held_until = now + self._hold
 
-    def note_result(self, is_failure: bool, latency: float) -> None:
+    def recent_failure_share(self, now: float) -> float:
+        """Return the failure share, halved with each half-life since."""
+        if self.failure_share == 0.0:
+            return 0.0
+        share = self.failure_share * self._remembered(now)
+        return share if share >= FORGOTTEN_SHARE else 0.0
+
+    def expected_latency(self, typical: float, now: float) -> float:
+        """Return the latency, which returns to `typical` while nothing is sent."""
+        if self.latency <= typical:
+            return self.latency or typical
+        return typical + (self.latency - typical) * self._remembered(now)
+
+    def _remembered(self, now: float) -> float:
+        age = max(0.0, now - self.result_at)
+        return float(0.5 ** (age / HALF_LIFE))
+
+    def note_result(self, is_failure: bool, latency: float, now: float) -> None:
         """Count a result.
 
         Parameters
@@ -166,9 +191,13 @@
             Whether the attempt failed on the server's account.
         latency : float
             Seconds from sending to the result.
+        now : float
+            Seconds, monotonic.
         """
         self.results += 1
-        self.failure_share += _SMOOTHING * (float(is_failure) - self.failure_share)
+        failed = self.recent_failure_share(now)
+        self.failure_share = failed + _SMOOTHING * (float(is_failure) - failed)
+        self.result_at = now
         self.any_latency = _smoothed(self.any_latency, latency)
         if not is_failure:
             self.latency = _smoothed(self.latency, latency)
--- a/standins/chains.py
+++ b/standins/chains.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from knapweedlead.platform import CompareAndSwap
 from standins.cores import CallerReply, CoreBackendServer, Cores
 
 KEY = "key-of-the-chain"
@@ -51,9 +52,10 @@
 
 def apply(cores: Cores, document: bytes) -> None:
     """Write a catalogue over the one in the store."""
-    state = cores.store.state
-    revision = json.loads(document)["revision"]
-    state.compare_and_swap(CATALOGUE_KEY, document, revision - 1, "")
+    entry = cores.store.state.by_key.get(CATALOGUE_KEY)
+    revision = 0 if entry is None else entry.revision
+    write = CompareAndSwap(CATALOGUE_KEY, document, revision)
+    cores.store.call(write, cores, lambda result: None)
 
 
 @attrs.define(eq=False)
