--- a/knapweedlead/daemon/_composition.py
+++ b/knapweedlead/daemon/_composition.py
@@ -66,7 +66,7 @@
     )
     accounts = AccountsRole()
     once = OnceRole()
-    guard = GuardRole(identity, backend_server.slots, configuration, rng)
+    guard = GuardRole(identity, backend_server, settings.admission, configuration, rng)
     routing = settings.routing
     router = Router(identity, membership, routing.balancer, routing.ejector, rng)
     retries = RetryPolicy(
