Outcomes under cuts at byte boundaries, with real processes; retry budget

Cause: cores cannot cut inside a message; a relay between a daemon and its backend server, and on the link of two daemons, can. A relay forwards a chosen number of bytes and resets the connection. Links are led through it by a launcher that dials another address. Change besides: the retry budget remembers earned retries for 5 s, so that the calls lost with a server of a busy service may be tried again.

--- a/knapweedlead/retries/_budget.py
+++ b/knapweedlead/retries/_budget.py
@@ -1,5 +1,6 @@
 """Budgets that bound the retries an entry sends to a service."""
 
+import math
 from typing import ClassVar, Protocol
 
 from knapweedlead.parameters import Constraint, Interval, check_parameters
@@ -33,47 +34,62 @@
 
 @RETRY_BUDGETS.register("success_share")
 class SuccessShare:
-    """Allows retries up to a share of the successes.
+    """Allows retries up to a share of the recent successes, and a small reserve.
 
     Parameters
     ----------
     share : float
         Retries earned by each success.
+    memory_s : float
+        Seconds after which the retries earned by a success fade to 1/e.
     reserve : float
-        Retries that may be saved up, and that are there at the start.
+        Retries allowed without any success, for quiet services.
     refill_per_s : float
-        Retries earned each second without a success, for quiet services.
+        Retries that come back to the reserve each second.
     """
 
     parameter_constraints: ClassVar[dict[str, Constraint]] = {
         "share": Interval(float, 0.0, 1.0),
+        "memory_s": Interval(float, 0.1, 3600.0, "s"),
         "reserve": Interval(float, 1.0, 10_000.0, "retries"),
         "refill_per_s": Interval(float, 0.0, 1000.0, "retries/s"),
     }
 
     def __init__(
-        self, share: float = 0.1, reserve: float = 10.0, refill_per_s: float = 1.0
+        self,
+        share: float = 0.1,
+        memory_s: float = 5.0,
+        reserve: float = 10.0,
+        refill_per_s: float = 1.0,
     ) -> None:
         self.share = share
+        self.memory_s = memory_s
         self.reserve = reserve
         self.refill_per_s = refill_per_s
         check_parameters(self)
-        self._balance = reserve
+        self._earned = 0.0
+        self._reserved = reserve
         self._updated_at: float | None = None
 
     def deposit(self, now: float) -> None:
         """Earn a share of a retry."""
-        self._balance = min(self.reserve, self._balance + self.share)
+        self._advance(now)
+        self._earned += self.share
 
     def withdraw(self, now: float) -> bool:
-        """Spend one retry if there is one."""
-        self._refill(now)
-        if self._balance < 1.0:
-            return False
-        self._balance -= 1.0
-        return True
-
-    def _refill(self, now: float) -> None:
-        elapsed = 0.0 if self._updated_at is None else now - self._updated_at
+        """Spend one retry if there is one, earned ones first."""
+        self._advance(now)
+        if self._earned >= 1.0:
+            self._earned -= 1.0
+            return True
+        if self._reserved >= 1.0:
+            self._reserved -= 1.0
+            return True
+        return False
+
+    def _advance(self, now: float) -> None:
+        elapsed = 0.0 if self._updated_at is None else max(0.0, now - self._updated_at)
         self._updated_at = now
-        self._balance = min(self.reserve, self._balance + elapsed * self.refill_per_s)
+        self._earned *= math.exp(-elapsed / self.memory_s)
+        refilled = self._reserved + elapsed * self.refill_per_s
+        self._reserved = min(self.reserve, refilled)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -184,13 +184,25 @@
             f"--behaviour={json.dumps(server.behaviour)}",
         )
 
-    def start_daemon(self, server: FleetServer) -> None:
-        """Start the daemon of a server."""
+    def start_daemon(
+        self, server: FleetServer, dial: dict[str, str] | None = None
+    ) -> None:
+        """Start the daemon of a server.
+
+        Parameters
+        ----------
+        server : FleetServer
+            The server.
+        dial : dict of str to str, optional
+            Addresses dialled in place of link addresses.
+        """
         path = self.directory / f"{server.name}.json"
         path.write_text(json.dumps(server.settings, indent=2), "utf-8")
-        server.daemon = self._start(
-            server.name, "knapweedlead.daemon.main", f"--settings={path}"
-        )
+        module, arguments = "knapweedlead.daemon.main", [f"--settings={path}"]
+        if dial:
+            module = "standins.relayed_daemon"
+            arguments.append(f"--dial={json.dumps(dial)}")
+        server.daemon = self._start(server.name, module, *arguments)
 
     def operate(self, *arguments: str) -> subprocess.CompletedProcess[str]:
         """Run ``knapweedleadctl`` against the daemons and return what it printed."""
