--- a/knapweedlead/messages/_codec.py
+++ b/knapweedlead/messages/_codec.py
@@ -5,6 +5,7 @@
 """
 
 import io
+import itertools
 import typing
 from collections.abc import Callable
 from operator import attrgetter
@@ -182,9 +183,9 @@
     def unpack(by_key: Any) -> Any:
         if type(by_key) is not dict:
             raise _MalformedError(f"expected a map, got {type(by_key).__name__}")
-        if plain and plain.issuperset(map(type, by_key)):
-            if plain.issuperset(map(type, by_key.values())):
-                return by_key
+        values = by_key.values()
+        if plain and plain.issuperset(map(type, itertools.chain(by_key, values))):
+            return by_key
         return {key_of(key): value_of(value) for key, value in by_key.items()}
 
     return unpack
--- a/knapweedlead/platform/_http_store.py
+++ b/knapweedlead/platform/_http_store.py
@@ -39,6 +39,9 @@
 _WATCH_GRACE = 2.0
 """Seconds that a watch's answer may take beyond its wait."""
 
+_READS = (Get, List)
+"""Operations tried twice, since the store may close a kept connection."""
+
 _Answer = Result[StoreResult, StoreError]
 
 
@@ -86,6 +89,12 @@
             The answer; on failure an error whose fault says whether a write
             may have taken effect.
         """
+        answer = await self._attempt(operation)
+        if isinstance(answer, Err) and isinstance(operation, _READS):
+            return await self._attempt(operation)
+        return answer
+
+    async def _attempt(self, operation: StoreOperation) -> _Answer:
         method = self._method_by_operation[type(operation)]
         step = f"store.{type(operation).__name__}"
         try:
--- a/knapweedlead/telemetry/_catalogue.py
+++ b/knapweedlead/telemetry/_catalogue.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from knapweedlead.ownership import Takeover
 from knapweedlead.platform import StoreOperation
 from knapweedlead.requests import RefusalReason, RetryReason
 
@@ -67,6 +68,7 @@
 
 _REFUSAL_REASON = LabelSpec("reason", tuple(reason.value for reason in RefusalReason))
 _RETRY_REASON = LabelSpec("reason", tuple(reason.value for reason in RetryReason))
+_TAKEOVER = LabelSpec("by", tuple(takeover.value for takeover in Takeover))
 _DROP_REASON = LabelSpec("reason", ("unexpected", "digest"))
 _OPERATOR_REASON = LabelSpec(
     "reason",
@@ -142,6 +144,25 @@
         "Late, crossed, repeated or broken answers that reached no caller.",
         (_DROP_REASON,),
     ),
+    MetricSpec(
+        "knapweedlead.slots.acquired",
+        MetricKind.COUNTER,
+        "{slot}",
+        "Slots taken over, by the evidence for it.",
+        (_TAKEOVER,),
+    ),
+    MetricSpec(
+        "knapweedlead.slots.write_failures",
+        MetricKind.COUNTER,
+        "{call}",
+        "Writes of slot records that failed.",
+    ),
+    MetricSpec(
+        "knapweedlead.tokens.outdated_requests",
+        MetricKind.COUNTER,
+        "{message}",
+        "Requests for tokens that came out of order and were passed over.",
+    ),
     MetricSpec(
         "knapweedlead.operator.refusals",
         MetricKind.COUNTER,
