Probe members over a ring of fingers, with suspicion, refutation and seeds

Cause: every daemon listed all announcements in the store once a second, so the store's load grew in proportion to the fleet, and a crashed member was never taken out of members_of. Ruled out: probes of uniformly random members, which open links from each daemon to all others; a dead record taken from a peer as it stands, which empties the routing of a living group when a split heals. Change: fingers at ring distances 1, 2, 4, ... are probed in random order, one a second; indirect probes, suspicion with refutation, news on heartbeats, full exchange at join and at heal, two seeds a data centre in the store. by_name holds members that run.

--- a/knapweedlead/configuration/_operator_role.py
+++ b/knapweedlead/configuration/_operator_role.py
@@ -4,6 +4,7 @@
 import itertools
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
+from operator import attrgetter
 from typing import Any
 
 from result import Err
@@ -125,10 +126,11 @@
     def _status(
         self, exchange: int, request: GetStatus, now: float
     ) -> Iterator[Effect]:
-        members = sorted(self.membership.by_name.values(), key=lambda m: m.name)
-        revision_of = self.membership.revision_of
-        running = [m for m in members if m.state in self.membership.RUNNING_STATES]
-        in_force_on = Counter(str(revision_of(member.name)) for member in running)
+        table = self.membership.table
+        members = sorted(table.by_name.values(), key=attrgetter("name"))
+        revision_by_name = {self.identity.name: self.configuration.revision}
+        running = table.running_by_name
+        in_force_on = Counter(str(revision_by_name.get(name, 0)) for name in running)
         document = {
             "revision": self.configuration.revision,
             "members": [
@@ -138,7 +140,7 @@
                     "data_centre": member.data_centre,
                     "region": member.region,
                     "state": member.state,
-                    "revision": revision_of(member.name),
+                    "revision": revision_by_name.get(member.name, 0),
                 }
                 for member in members
             ],
--- a/knapweedlead/daemon/_composition.py
+++ b/knapweedlead/daemon/_composition.py
@@ -7,7 +7,7 @@
 from knapweedlead.accounts import AccountsRole
 from knapweedlead.calls import EntryRole, GuardRole
 from knapweedlead.configuration import ConfigurationRole, OperatorRole
-from knapweedlead.membership import MembershipRole
+from knapweedlead.membership import BootstrapRole, MembershipRole
 from knapweedlead.node import Identity, Node, StoreCalls
 from knapweedlead.requests import OnceRole
 from knapweedlead.settings import DaemonSettings
@@ -59,14 +59,24 @@
         backend_server.slots,
         backend_server.cold_slots,
         backend_server.connections,
-        store_calls,
+        rng,
     )
+    bootstrap = BootstrapRole(membership, store_calls, rng)
     accounts = AccountsRole()
     once = OnceRole()
     guard = GuardRole(identity, backend_server.slots, configuration, rng)
     entry = EntryRole(configuration, membership, accounts, once, guard, rng)
     operator = OperatorRole(identity, configuration, membership, store_calls)
-    roles = [configuration, membership, accounts, once, guard, entry, operator]
+    roles = [
+        membership,
+        bootstrap,
+        configuration,
+        operator,
+        accounts,
+        once,
+        guard,
+        entry,
+    ]
     return Composition(
         identity=identity,
         node=Node(roles),
--- a/knapweedlead/membership/__init__.py
+++ b/knapweedlead/membership/__init__.py
@@ -1,6 +1,16 @@
 """Membership: which daemons exist, where, and in which state."""
 
-from knapweedlead.membership._member import Member, MembersChanged
+from knapweedlead.membership._bootstrap import BootstrapRole
+from knapweedlead.membership._member import Member, MembersChanged, RevisionHeard
+from knapweedlead.membership._ring import Ring, ring_position
 from knapweedlead.membership._role import MembershipRole
 
-__all__ = ["Member", "MembersChanged", "MembershipRole"]
+__all__ = [
+    "BootstrapRole",
+    "Member",
+    "MembersChanged",
+    "MembershipRole",
+    "RevisionHeard",
+    "Ring",
+    "ring_position",
+]
--- a/knapweedlead/membership/_member.py
+++ b/knapweedlead/membership/_member.py
@@ -4,6 +4,17 @@
 
 from knapweedlead.messages import nested
 from knapweedlead.node import Event
+from knapweedlead.statecharts import Statechart
+
+MEMBER_CHART = Statechart.load("knapweedlead.membership", "member.json")
+
+RANK_BY_STATE = {"alive": 0, "suspect": 1, "leaving": 2, "dead": 3, "gone": 4}
+"""Which judgement on the same announcement replaces which."""
+
+RUNNING_STATES = frozenset({"alive", "suspect", "leaving"})
+"""States of members whose process runs, as far as is known."""
+
+ENDED_STATES = frozenset({"dead", "gone"})
 
 
 @nested
@@ -43,6 +54,17 @@
     connections: int
     state: str
 
+    @property
+    def precedence(self) -> tuple[int, int, int]:
+        """Order among records of the same member; a higher one replaces."""
+        rank = RANK_BY_STATE.get(self.state, 0)
+        return self.incarnation, self.version, rank
+
+    def judged(self, event: str) -> "Member":
+        """Return the record after an event of ``member.json``."""
+        state = MEMBER_CHART.advance(self.state, event)
+        return self if state == self.state else attrs.evolve(self, state=state)
+
 
 @attrs.frozen
 class MembersChanged(Event):
@@ -55,3 +77,19 @@
     """
 
     names: tuple[str, ...]
+
+
+@attrs.frozen
+class RevisionHeard(Event):
+    """A member reported its configuration's revision on a heartbeat.
+
+    Parameters
+    ----------
+    peer : str
+        Link address of the member.
+    revision : int
+        Revision in force there.
+    """
+
+    peer: str
+    revision: int
