Spread the catalogue from a few relays, confirm it, and collect the status

Cause: each daemon watched the store, is_fresh was true for ever after the first revision, and a store that was down was called in a hot loop. Ruled out: ages of confirmations on heartbeats (a ping's age is not known to its receiver, and at 570 members they spread in seconds that the 7 s do not leave); counting the members alive to tell an outage from a cut (an isolated daemon believes the fleet alive until its probes have gone round). Change: two relays a data centre watch, bounded to 1 s; changes travel as deltas by a policy from a registry; each daemon asks a relay every 1.5 s, pulls what it lacks, and serves for 6 s on a confirmation counted from the question; relays of most data centres together attest an outage of the store. Status goes along a partitioned tree, then singly to the silent. Before: with is_fresh as it was, test_daemon_cut_off_from_all and test_frozen_daemon could not pass; the membership test with the store down took 100 s.

--- a/knapweedlead/configuration/__init__.py
+++ b/knapweedlead/configuration/__init__.py
@@ -23,9 +23,12 @@
     check_resource,
 )
 from knapweedlead.configuration._role import ConfigurationChanged, ConfigurationRole
+from knapweedlead.configuration._spreading import SPREADING
+from knapweedlead.configuration._status import StatusRole
 
 __all__ = [
     "KINDS",
+    "SPREADING",
     "AcceptedChange",
     "ApplyResource",
     "BackendServer",
@@ -44,6 +47,7 @@
     "Resource",
     "Route",
     "Service",
+    "StatusRole",
     "check_resource",
     "parse_catalogue",
     "serialize_catalogue",
--- /dev/null
+++ b/knapweedlead/configuration/_delta.py
@@ -0,0 +1,112 @@
+"""Changes between two revisions of the catalogue, as bytes."""
+
+import zlib
+
+import attrs
+from result import Err, Ok, Result
+
+from knapweedlead.configuration._catalogue import AcceptedChange, Catalogue
+from knapweedlead.configuration._change import MAX_CHANGES, replace_resources
+from knapweedlead.configuration._document import (
+    dump_document,
+    load_document,
+    parse_catalogue,
+    serialize_catalogue,
+)
+from knapweedlead.configuration._resources import Resource, check_resource
+from knapweedlead.errors import ResourceError
+
+
+@attrs.frozen
+class Delta:
+    """Content that leads from one revision to another.
+
+    Parameters
+    ----------
+    base, revision : int
+        From and to; a base of 0 means the whole catalogue.
+    content : bytes
+        The changes and the resources concerned.
+    """
+
+    base: int
+    revision: int
+    content: bytes
+
+
+def delta_of(catalogue: Catalogue, base: int) -> Delta:
+    """Return what leads from `base` to the catalogue.
+
+    The whole catalogue is sent where it does not remember all changes since.
+    """
+    changes = [change for change in catalogue.changes if change.revision > base]
+    remembered = [change.revision for change in changes]
+    if base <= 0 or remembered != list(range(base + 1, catalogue.revision + 1)):
+        return Delta(0, catalogue.revision, serialize_catalogue(catalogue))
+    keys = dict.fromkeys((change.kind, change.name) for change in changes)
+    resources = [
+        (kind, name, None if resource is None else attrs.asdict(resource))
+        for kind, name in keys
+        for resource in [catalogue.resource(kind, name)]
+    ]
+    document = {
+        "changes": [attrs.astuple(change) for change in changes],
+        "resources": resources,
+    }
+    return Delta(base, catalogue.revision, dump_document(document))
+
+
+def apply_delta(
+    catalogue: Catalogue | None, delta: Delta, peer: str
+) -> Result[Catalogue, ResourceError]:
+    """Return the catalogue to which a delta leads.
+
+    Parameters
+    ----------
+    catalogue : Catalogue or None
+        The catalogue before, at the delta's base or later.
+    delta : Delta
+        The changes.
+    peer : str
+        Who sent them, for the error.
+    """
+    if delta.base == 0:
+        parsed = parse_catalogue(delta.content)
+        return parsed if isinstance(parsed, Err) else _checked(parsed.ok_value, delta)
+    if catalogue is None or catalogue.revision < delta.base:
+        return _refuse(peer, f"expected to be at revision {delta.base}")
+    try:
+        return _apply(catalogue, delta)
+    except (ValueError, KeyError, TypeError, IndexError, zlib.error) as error:
+        return _refuse(peer, f"not a delta: {type(error).__name__}: {error}")
+
+
+def _apply(catalogue: Catalogue, delta: Delta) -> Result[Catalogue, ResourceError]:
+    document = load_document(delta.content)
+    changes = [AcceptedChange(*change) for change in document["changes"]]
+    newer = [change for change in changes if change.revision > catalogue.revision]
+    expected = list(range(catalogue.revision + 1, delta.revision + 1))
+    if [change.revision for change in newer] != expected:
+        raise ValueError("changes are missing")
+    content_by_key: dict[tuple[str, str], Resource | None] = {}
+    for kind, name, item in document["resources"]:
+        content_by_key[kind, name] = None
+        if item is not None:
+            checked = check_resource(kind, item, name)
+            if isinstance(checked, Err):
+                return checked
+            content_by_key[kind, name] = checked.ok_value
+    kept = (*catalogue.changes, *newer)[-MAX_CHANGES:]
+    needed = {(change.kind, change.name) for change in newer}
+    needed_content = {key: content_by_key[key] for key in needed}
+    return Ok(replace_resources(catalogue, needed_content, kept))
+
+
+def _checked(catalogue: Catalogue, delta: Delta) -> Result[Catalogue, ResourceError]:
+    if catalogue.revision != delta.revision:
+        return _refuse("-", f"expected revision {delta.revision}")
+    return Ok(catalogue)
+
+
+def _refuse(peer: str, detail: str) -> Err[ResourceError]:
+    return Err(ResourceError("configuration.delta", peer, detail))
--- a/knapweedlead/configuration/_operator_role.py
+++ b/knapweedlead/configuration/_operator_role.py
@@ -2,9 +2,7 @@
 
 import heapq
 import itertools
-from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
-from operator import attrgetter
 from typing import Any
 
 from result import Err
@@ -29,7 +27,7 @@
 )
 from knapweedlead.configuration._resources import KINDS, check_resource
 from knapweedlead.configuration._role import ConfigurationRole
-from knapweedlead.membership import MembershipRole
+from knapweedlead.configuration._status import StatusCollected, StatusRole
 from knapweedlead.node import (
     Effect,
     Identity,
@@ -60,8 +58,8 @@
         Who this daemon is.
     configuration : ConfigurationRole
         Holds the catalogue in force, and takes up accepted changes.
-    membership : MembershipRole
-        Knows the members and the revisions in force on them.
+    status : StatusRole
+        Collects the revisions in force on the members.
     store_calls : StoreCalls
         Allots numbers to store calls.
     """
@@ -70,13 +68,14 @@
         self,
         identity: Identity,
         configuration: ConfigurationRole,
-        membership: MembershipRole,
+        status: StatusRole,
         store_calls: StoreCalls,
     ) -> None:
         self.identity = identity
         self.configuration = configuration
-        self.membership = membership
+        self.status = status
         self.store_calls = store_calls
+        self._awaiting_status: list[int] = []
         self._pending_by_call: dict[int, PendingChange] = {}
         self._called_at: dict[int, float] = {}
         self._retries: list[tuple[float, int, PendingChange]] = []
@@ -84,7 +83,7 @@
         self._handler_by_request: dict[type, Handler] = {
             ListResources: self._list,
             GetResource: self._get,
-            GetStatus: self._status,
+            GetStatus: self._get_status,
             ApplyResource: self._apply,
             DeleteResource: self._delete,
         }
@@ -123,30 +122,20 @@
         version = catalogue.version_of(kind, name)
         return resource_reply(resource, version, catalogue.revision)
 
-    def _status(
+    def _get_status(
         self, exchange: int, request: GetStatus, now: float
     ) -> Iterator[Effect]:
-        table = self.membership.table
-        members = sorted(table.by_name.values(), key=attrgetter("name"))
-        revision_by_name = {self.identity.name: self.configuration.revision}
-        running = table.running_by_name
-        in_force_on = Counter(str(revision_by_name.get(name, 0)) for name in running)
-        document = {
-            "revision": self.configuration.revision,
-            "members": [
-                {
-                    "name": member.name,
-                    "service": member.service,
-                    "data_centre": member.data_centre,
-                    "region": member.region,
-                    "state": member.state,
-                    "revision": revision_by_name.get(member.name, 0),
-                }
-                for member in members
-            ],
-            "in_force_on": dict(in_force_on),
-        }
-        yield ReplyToOperator(exchange, OperatorReply(200, document))
+        self._awaiting_status.append(exchange)
+        yield from self.status.collect(now)
+
+    @handles(StatusCollected)
+    def on_status_collected(
+        self, event: StatusCollected, now: float
+    ) -> Iterator[Effect]:
+        """Answer all who asked for the status."""
+        exchanges, self._awaiting_status = self._awaiting_status, []
+        for exchange in exchanges:
+            yield ReplyToOperator(exchange, OperatorReply(200, event.document))
 
     def _apply(
         self, exchange: int, request: ApplyResource, now: float
--- a/knapweedlead/configuration/_role.py
+++ b/knapweedlead/configuration/_role.py
@@ -1,30 +1,49 @@
 """Role that keeps the configuration in force up to date."""
 
+import random
 from collections.abc import Iterable, Iterator
 
 import attrs
 from result import Err
 
 from knapweedlead.configuration._catalogue import Catalogue
+from knapweedlead.configuration._confirmer import Confirmer
+from knapweedlead.configuration._delta import Delta, apply_delta, delta_of
 from knapweedlead.configuration._document import parse_catalogue
-from knapweedlead.configuration._pending_change import CATALOGUE_KEY
+from knapweedlead.configuration._freshness import Freshness
+from knapweedlead.configuration._messages import (
+    CataloguePush,
+    ConfirmReply,
+    ConfirmRequest,
+    PullReply,
+    PullRequest,
+)
+from knapweedlead.configuration._spreading import RING_SIZE, Spreading, distance
+from knapweedlead.configuration._store_watch import StoreWatch
+from knapweedlead.errors import ResourceError
+from knapweedlead.membership import MembershipRole, RevisionHeard, ring_position
 from knapweedlead.node import (
+    Count,
     Effect,
     Event,
     LogEvent,
     Notify,
     Role,
-    Started,
+    SendMessage,
     StoreAnswered,
     StoreCall,
     StoreCalls,
-    WakeAt,
+    Tick,
+    Woken,
     handles,
+    handles_message,
 )
-from knapweedlead.platform import Entry, Watch
+from knapweedlead.platform import Entry
 
-WATCH_SECONDS = 10.0
-RETRY_SECONDS = 0.5
+CUT_OFF_SECONDS = 3.0
+"""Seconds without the store after which a relay asks other data centres."""
+PULL_SECONDS = 0.5
+"""Least seconds between two pulls."""
 
 
 @attrs.frozen
@@ -35,19 +54,41 @@
 
 
 class ConfigurationRole(Role):
-    """Watches the catalogue and applies rising revisions.
+    """Applies rising revisions, passes them on, and keeps them confirmed.
+
+    A few relays in each data centre watch the store. A change goes on along the
+    links by the spreading policy; each daemon asks a relay now and then whether
+    its revision is the newest, which also repairs what was lost.
 
     Parameters
     ----------
     store_calls : StoreCalls
         Allots numbers to store calls.
+    membership : MembershipRole
+        Knows the members.
+    spreading : Spreading
+        Chooses to whom a change is passed on.
+    rng : random.Random
+        Source of random choices.
     """
 
-    def __init__(self, store_calls: StoreCalls) -> None:
+    def __init__(
+        self,
+        store_calls: StoreCalls,
+        membership: MembershipRole,
+        spreading: Spreading,
+        rng: random.Random,
+    ) -> None:
         self.store_calls = store_calls
+        self.membership = membership
+        self.spreading = spreading
         self.catalogue: Catalogue | None = None
-        self._watched = 0
-        self._store_revision = 0
+        self.freshness = Freshness()
+        self._confirmer = Confirmer(membership, rng)
+        self._watch = StoreWatch(rng)
+        self._is_entry_usable = False
+        self._passed_on = (0, 0)
+        self._next_pull = 0.0
 
     @property
     def revision(self) -> int:
@@ -55,43 +96,82 @@
         return 0 if self.catalogue is None else self.catalogue.revision
 
     def is_fresh(self, now: float) -> bool:
-        """Return whether the revision in force may still be served."""
-        return self.catalogue is not None
+        """Return whether the revision in force may still be served.
+
+        It may for some seconds after the store or a relay confirmed it, and
+        while the relays of most data centres find the store out of reach.
+        """
+        return self.catalogue is not None and self.freshness.is_fresh(now)
+
+    @handles(Woken)
+    def on_woken(self, event: Woken, now: float) -> Iterable[Effect]:
+        """Ask for a confirmation at once."""
+        self._confirmer.ask_soon(now)
+        return []
+
+    @handles(Tick)
+    def on_tick(self, event: Tick, now: float) -> Iterator[Effect]:
+        """Watch the store as a relay, and ask for confirmations."""
+        is_relay = self._confirmer.is_relay()
+        if is_relay:
+            yield from self._watch_store(now)
+        elif self._watch.call or self._watch.entry is not None:
+            self._watch.stop()
+        is_cut_off = is_relay and self._is_cut_off(now)
+        if is_cut_off:
+            self._weigh_outage(now)
+        if is_relay and not is_cut_off:
+            return
+        for number, member in self._confirmer.due(is_cut_off, now):
+            request = ConfirmRequest(number, self.revision)
+            yield SendMessage(member.link_address, request)
+
+    def _watch_store(self, now: float) -> Iterator[Effect]:
+        operation = self._watch.next_operation(now)
+        if operation is not None:
+            self._watch.call = self.store_calls.next()
+            yield StoreCall(self._watch.call, operation)
+
+    def _is_cut_off(self, now: float) -> bool:
+        confirmed_at = self._watch.confirmed_at
+        return confirmed_at is None or now - confirmed_at > CUT_OFF_SECONDS
 
-    @handles(Started)
-    def on_started(self, event: Started, now: float) -> Iterable[Effect]:
-        """Start to watch the store."""
-        return [self._watch()]
+    def _weigh_outage(self, now: float) -> None:
+        table = self.membership.table
+        data_centre = self.membership.own.data_centre
+        if self.membership.has_contact(now) and table.is_most_of(data_centre):
+            self.freshness.report_cut_off(data_centre, now)
+        self.freshness.weigh_outage(table.data_centres())
 
     @handles(StoreAnswered)
     def on_store_answered(self, event: StoreAnswered, now: float) -> Iterator[Effect]:
-        """Apply the catalogue that the watch brought."""
-        if event.call != self._watched:
+        """Take up what the watch brought, and go on watching."""
+        if event.call != self._watch.call:
             return
-        if isinstance(event.result, Err):
-            yield LogEvent("watch_failed", (("error", str(event.result.err_value)),))
-            yield WakeAt(now + RETRY_SECONDS)
-            yield self._watch()
-            return
-        entry = event.result.ok_value
-        assert isinstance(entry, Entry)
-        self._store_revision = entry.revision
-        yield from self._apply(entry, now)
-        yield self._watch()
+        entry = self._watch.on_answer(event.result, now)
+        if entry is not None:
+            yield from self._take_up_entry(entry, now)
+        confirmed_at = self._watch.confirmed_at
+        is_answer = not isinstance(event.result, Err)
+        if is_answer and self._is_entry_usable and confirmed_at is not None:
+            self.freshness.confirm(confirmed_at)
+        yield from self._watch_store(now)
 
-    def _apply(self, entry: Entry, now: float) -> Iterator[Effect]:
+    def _take_up_entry(self, entry: Entry, now: float) -> Iterator[Effect]:
+        self._is_entry_usable = True
         if not entry.value:
             return
         parsed = parse_catalogue(entry.value)
         if isinstance(parsed, Err):
-            yield LogEvent("catalogue_refused", (("error", str(parsed.err_value)),))
+            self._is_entry_usable = False
+            yield from _refused(parsed.err_value)
             return
-        yield from self.take_up(parsed.ok_value, now, now)
+        yield from self.take_up(parsed.ok_value, self._watch.asked_at, now)
 
     def take_up(
         self, catalogue: Catalogue, confirmed_at: float, now: float
     ) -> Iterator[Effect]:
-        """Put a catalogue in force that the store held, unless a higher one is.
+        """Put a catalogue in force that the store held, and spread it.
 
         Parameters
         ----------
@@ -102,14 +182,143 @@
         now : float
             Present time in seconds.
         """
+        if catalogue.revision >= self.revision:
+            self.freshness.confirm(confirmed_at)
+        before = self.revision
+        yield from self._put_in_force(catalogue)
+        if 0 < before < catalogue.revision:
+            until = ring_position(self.membership.own.name)
+            yield from self._pass_on(delta_of(catalogue, before), until)
+
+    def _put_in_force(self, catalogue: Catalogue) -> Iterator[Effect]:
         if catalogue.revision <= self.revision:
             return
         self.catalogue = catalogue
+        self.membership.revision = catalogue.revision
         yield LogEvent("configuration_applied", (("revision", self.revision),))
-        yield Notify(ConfigurationChanged(self.catalogue))
+        yield Notify(ConfigurationChanged(catalogue))
+
+    def _pass_on(self, delta: Delta, until: int) -> Iterator[Effect]:
+        """Send a delta to the part of the ring that was not served before."""
+        own = self.membership.own.name
+        origin = ring_position(own)
+        extent = distance(origin, until) or RING_SIZE
+        revision, served = self._passed_on
+        if revision > delta.revision or (
+            revision == delta.revision and extent <= served
+        ):
+            return
+        if revision < delta.revision:
+            served = 0
+        self._passed_on = (delta.revision, extent)
+        fingers = self.membership.fingers()
+        names = list(self.membership.by_name)
+        for target in self.spreading.targets(own, until, fingers, names):
+            end = distance(origin, target.until) or RING_SIZE
+            if end > served:
+                push = CataloguePush(
+                    delta.base, delta.revision, target.until, delta.content
+                )
+                yield Count("knapweedlead.configuration.pushes")
+                yield SendMessage(self._address_of(target.name), push)
+
+    def _address_of(self, name: str) -> str:
+        return self.membership.table.by_name[name].link_address
+
+    @handles_message(CataloguePush)
+    def on_push(self, peer: str, push: CataloguePush, now: float) -> Iterator[Effect]:
+        """Pass a change on and apply it."""
+        delta = Delta(push.base, push.revision, push.content)
+        if push.revision >= self.revision:
+            yield from self._pass_on(delta, push.until)
+        yield from self._take_up_delta(peer, delta, now)
+
+    @handles_message(PullReply)
+    def on_pull_reply(
+        self, peer: str, reply: PullReply, now: float
+    ) -> Iterator[Effect]:
+        """Apply what a peer sent on request."""
+        delta = Delta(reply.base, reply.revision, reply.content)
+        yield from self._take_up_delta(peer, delta, now)
+        if self.revision >= reply.revision and not self.freshness.is_fresh(now):
+            self._confirmer.ask_soon(now)
+
+    def _take_up_delta(self, peer: str, delta: Delta, now: float) -> Iterator[Effect]:
+        if delta.revision <= self.revision:
+            return
+        if delta.base > self.revision:
+            yield from self._pull(peer, now)
+            return
+        applied = apply_delta(self.catalogue, delta, peer)
+        if isinstance(applied, Err):
+            yield from _refused(applied.err_value)
+            return
+        yield from self._put_in_force(applied.ok_value)
+
+    @handles(RevisionHeard)
+    def on_revision_heard(self, event: RevisionHeard, now: float) -> Iterator[Effect]:
+        """Pull a higher revision from the member that reported it."""
+        if event.revision > self.revision:
+            yield from self._pull(event.peer, now)
+
+    def _pull(self, peer: str, now: float) -> Iterator[Effect]:
+        if now < self._next_pull:
+            return
+        self._next_pull = now + PULL_SECONDS
+        yield Count("knapweedlead.configuration.pulls")
+        yield SendMessage(peer, PullRequest(self.revision))
+
+    @handles_message(PullRequest)
+    def on_pull_request(
+        self, peer: str, request: PullRequest, now: float
+    ) -> Iterator[Effect]:
+        """Send what leads from the peer's revision to the one in force."""
+        if self.catalogue is None or request.revision >= self.revision:
+            return
+        delta = delta_of(self.catalogue, request.revision)
+        reply = PullReply(delta.base, delta.revision, delta.content)
+        yield SendMessage(peer, reply)
 
-    def _watch(self) -> Effect:
-        self._watched = self.store_calls.next()
-        return StoreCall(
-            self._watched, Watch(CATALOGUE_KEY, self._store_revision, WATCH_SECONDS)
+    @handles_message(ConfirmRequest)
+    def on_confirm_request(
+        self, peer: str, request: ConfirmRequest, now: float
+    ) -> Iterator[Effect]:
+        """Say what is known of the newest revision."""
+        if request.revision > self.revision:
+            yield from self._pull(peer, now)
+        is_cut_off = self._confirmer.is_relay() and self._is_cut_off(now)
+        reply = ConfirmReply(
+            request.number,
+            self.revision,
+            _age(self.freshness.confirmed_at, now),
+            _age(self.freshness.outage_at, now),
+            is_cut_off and self.membership.has_contact(now),
         )
+        yield SendMessage(peer, reply)
+
+    @handles_message(ConfirmReply)
+    def on_confirm_reply(
+        self, peer: str, reply: ConfirmReply, now: float
+    ) -> Iterator[Effect]:
+        """Take up evidence as old as the question, and pull what is missing."""
+        question = self._confirmer.answered(reply.number)
+        if question is None:
+            return
+        if reply.revision > self.revision:
+            yield from self._pull(peer, now)
+            return
+        if reply.confirmed_age >= 0.0:
+            self.freshness.confirm(question.asked_at - reply.confirmed_age)
+        if reply.outage_age >= 0.0:
+            self.freshness.report_outage(question.asked_at - reply.outage_age)
+        if reply.is_cut_off:
+            self.freshness.report_cut_off(question.data_centre, question.asked_at)
+
+
+def _age(time: float, now: float) -> float:
+    return now - time if time > float("-inf") else -1.0
+
+
+def _refused(error: ResourceError) -> Iterator[Effect]:
+    yield Count("knapweedlead.configuration.refused")
+    yield LogEvent("catalogue_refused", (("error", str(error)),))
--- /dev/null
+++ b/knapweedlead/configuration/_store_watch.py
@@ -0,0 +1,90 @@
+"""The course of one watch on the catalogue's key."""
+
+import random
+
+import attrs
+from result import Err, Result
+
+from knapweedlead.configuration._pending_change import CATALOGUE_KEY
+from knapweedlead.errors import StoreError, StoreFault
+from knapweedlead.platform import Entry, Get, StoreOperation, StoreResult, Watch
+
+WATCH_SECONDS = 1.0
+"""Seconds for which a watch waits."""
+ANSWER_SECONDS = 4.0
+"""Seconds after which an answer is given up."""
+REREAD_SECONDS = 10.0
+"""Period in which the key is read instead of watched."""
+LEAST_SECONDS = 0.2
+"""Least seconds between two calls that bring nothing new."""
+RETRY_SECONDS = 0.5
+"""Seconds until the next try after a failure, doubled with each."""
+MAX_RETRY_SECONDS = 2.0
+
+
+@attrs.define(eq=False)
+class StoreWatch:
+    """Decides when to read or watch the key; holds what the store confirmed.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Spreads the times of retries.
+    """
+
+    rng: random.Random
+    confirmed_at: float | None = None
+    """Time at which the entry was certainly the present one, in seconds."""
+    entry: Entry | None = None
+    call: int = 0
+    """Number of the call without an answer; 0 for none."""
+    asked_at: float = 0.0
+    next_at: float = 0.0
+    reread_at: float = 0.0
+    retry_seconds: float = RETRY_SECONDS
+
+    def next_operation(self, now: float) -> StoreOperation | None:
+        """Return the call that is due, if any."""
+        if self.call and now - self.asked_at < ANSWER_SECONDS:
+            return None
+        if self.call:
+            self._fail(now)
+        if now < self.next_at:
+            return None
+        self.asked_at = now
+        if self.entry is None or now >= self.reread_at:
+            self.reread_at = now + REREAD_SECONDS
+            return Get(CATALOGUE_KEY)
+        return Watch(CATALOGUE_KEY, self.entry.revision, WATCH_SECONDS)
+
+    def on_answer(
+        self, result: Result[StoreResult, StoreError], now: float
+    ) -> Entry | None:
+        """Take up the answer of the call, and return an entry that is new."""
+        if isinstance(result, Err):
+            self._fail(now, result.err_value.fault)
+            return None
+        entry = result.ok_value
+        assert isinstance(entry, Entry)
+        self.call = 0
+        self.retry_seconds = RETRY_SECONDS
+        self.confirmed_at = self.asked_at
+        is_new = self.entry is None or entry.revision != self.entry.revision
+        self.entry = entry
+        self.next_at = now if is_new else max(now, self.asked_at + LEAST_SECONDS)
+        return entry if is_new else None
+
+    def _fail(self, now: float, fault: StoreFault | None = None) -> None:
+        self.call = 0
+        self.entry = None
+        if fault is StoreFault.COMPACTED:
+            self.next_at = now
+            return
+        self.next_at = now + self.retry_seconds * (0.5 + self.rng.random() / 2)
+        self.retry_seconds = min(2 * self.retry_seconds, MAX_RETRY_SECONDS)
+
+    def stop(self) -> None:
+        """Forget the watch."""
+        self.call = 0
+        self.entry = None
+        self.confirmed_at = None
--- a/knapweedlead/daemon/_composition.py
+++ b/knapweedlead/daemon/_composition.py
@@ -6,7 +6,12 @@
 
 from knapweedlead.accounts import AccountsRole
 from knapweedlead.calls import EntryRole, GuardRole
-from knapweedlead.configuration import ConfigurationRole, OperatorRole
+from knapweedlead.configuration import (
+    SPREADING,
+    ConfigurationRole,
+    OperatorRole,
+    StatusRole,
+)
 from knapweedlead.membership import BootstrapRole, MembershipRole
 from knapweedlead.node import Identity, Node, StoreCalls
 from knapweedlead.requests import OnceRole
@@ -53,7 +58,6 @@
     )
     backend_server = settings.backend_server
     store_calls = StoreCalls()
-    configuration = ConfigurationRole(store_calls)
     membership = MembershipRole(
         identity,
         backend_server.slots,
@@ -61,16 +65,20 @@
         backend_server.connections,
         rng,
     )
+    spreading = SPREADING.create(settings.configuration.spreading, rng=rng)
+    configuration = ConfigurationRole(store_calls, membership, spreading, rng)
+    status = StatusRole(membership, configuration)
     bootstrap = BootstrapRole(membership, store_calls, rng)
     accounts = AccountsRole()
     once = OnceRole()
     guard = GuardRole(identity, backend_server.slots, configuration, rng)
     entry = EntryRole(configuration, membership, accounts, once, guard, rng)
-    operator = OperatorRole(identity, configuration, membership, store_calls)
+    operator = OperatorRole(identity, configuration, status, store_calls)
     roles = [
         membership,
         bootstrap,
         configuration,
+        status,
         operator,
         accounts,
         once,
--- a/knapweedlead/membership/_bootstrap.py
+++ b/knapweedlead/membership/_bootstrap.py
@@ -66,8 +66,6 @@
         self.membership = membership
         self.store_calls = store_calls
         self.rng = rng
-        self.is_alone = False
-        """Whether no seed answered."""
         self._listing_call = 0
         self._write_call = 0
         self._listing: Listing | None = None
@@ -77,11 +75,6 @@
         self._next_read = 0.0
         self._refresh_seconds = FIRST_REFRESH_SECONDS
 
-    @property
-    def has_joined(self) -> bool:
-        """Return whether the members are known, or that there are none."""
-        return self.is_alone or self.membership.synced_at is not None
-
     @handles(Started)
     def on_started(self, event: Started, now: float) -> Iterator[Effect]:
         """Read the seeds."""
@@ -99,7 +92,7 @@
             yield from self._ask_next(now)
         if now < self._next_read:
             return
-        if not self.has_joined or self._place() is not None:
+        if not self.membership.has_joined or self._place() is not None:
             yield self._read(now)
         else:
             self._next_read = now + REFRESH_SECONDS
@@ -153,7 +146,7 @@
         seeds = self._unasked[:SEEDS_ASKED]
         del self._unasked[:SEEDS_ASKED]
         if not seeds:
-            self.is_alone = True
+            self.membership.is_alone = True
             yield from self._keep_seed(now)
             return
         self._join_ends_at = now + JOIN_SECONDS
@@ -167,7 +160,7 @@
         """Go on to the next seeds where none of the asked can be reached."""
         self._asked.discard(event.peer)
         is_join = isinstance(event.message, SyncRequest)
-        if is_join and not self._asked and not self.has_joined:
+        if is_join and not self._asked and not self.membership.has_joined:
             return self._ask_next(now)
         return []
 
--- a/knapweedlead/membership/_role.py
+++ b/knapweedlead/membership/_role.py
@@ -54,6 +54,8 @@
 """Period of pings to members held for dead."""
 HEAL_PROBE_SECONDS = 0.2
 """The same while dead members return."""
+CONTACT_SECONDS = 3.0
+"""Seconds without a heartbeat after which a daemon counts as isolated."""
 QUIET_SECONDS = 3.0
 """Seconds without a change after which tables should be equal."""
 SYNC_SECONDS = 5.0
@@ -102,6 +104,9 @@
         """Configuration's revision that the heartbeats report."""
         self.synced_at: float | None = None
         """Time of the last full exchange, in seconds; None before the first."""
+        self.is_alone = False
+        """Whether no seed answered at the start."""
+        self._heard_at = 0.0
         self._next_probe = 0.0
         self._next_dead_probe = 0.0
         self._next_sync = 0.0
@@ -122,6 +127,16 @@
         """All members by link address, those that ended lately included."""
         return self.table.by_link_address
 
+    @property
+    def has_joined(self) -> bool:
+        """Return whether the members are known, or that there are none."""
+        return self.is_alone or self.synced_at is not None
+
+    def has_contact(self, now: float) -> bool:
+        """Return whether another member was heard of late, if there is any."""
+        is_only_one = len(self.table.by_name) == 1
+        return is_only_one or now - self._heard_at <= CONTACT_SECONDS
+
     def members_of(self, service: str) -> list[Member]:
         """Return the members of a service that may be sent work."""
         return self.table.alive_of(service)
@@ -276,6 +291,7 @@
     def _take_up_heartbeat(
         self, peer: str, heartbeat: Ping | Ack, now: float
     ) -> Iterator[Effect]:
+        self._heard_at = now
         names = self.view.take_up(heartbeat.updates, now)
         yield from self._changed(names)
         yield from self._pass_on_leaving(names)
--- a/knapweedlead/membership/_table.py
+++ b/knapweedlead/membership/_table.py
@@ -120,8 +120,18 @@
         return relays
 
     def data_centres(self) -> set[str]:
-        """Return the data centres of all known members."""
-        return {member.data_centre for member in self.by_name.values()}
+        """Return the data centres of the members that did not leave."""
+        return {m.data_centre for m in self.by_name.values() if m.state != "gone"}
+
+    def is_most_of(self, data_centre: str) -> bool:
+        """Return whether most known members of a data centre run."""
+        states = [
+            member.state
+            for member in self.by_name.values()
+            if member.data_centre == data_centre and member.state != "gone"
+        ]
+        running = sum(state not in ENDED_STATES for state in states)
+        return 2 * running > len(states)
 
 
 def _relay_order(member: Member) -> tuple[int, str]:
--- a/knapweedlead/settings/__init__.py
+++ b/knapweedlead/settings/__init__.py
@@ -4,6 +4,7 @@
 from knapweedlead.settings._schema import (
     AdmissionSettings,
     BackendServerSettings,
+    ConfigurationSettings,
     DaemonSettings,
     RoutingSettings,
     StoreSettings,
@@ -13,6 +14,7 @@
 __all__ = [
     "AdmissionSettings",
     "BackendServerSettings",
+    "ConfigurationSettings",
     "DaemonSettings",
     "RoutingSettings",
     "StoreSettings",
--- a/knapweedlead/settings/_schema.py
+++ b/knapweedlead/settings/_schema.py
@@ -137,6 +137,17 @@
     }
 
 
+@attrs.frozen
+class ConfigurationSettings:
+    """Name of the policy by which configuration spreads."""
+
+    spreading: str = "partitioned_tree"
+
+    parameter_constraints: ClassVar[dict[str, Constraint]] = {
+        "spreading": Choice(("flood", "gossip", "partitioned_tree"))
+    }
+
+
 @attrs.frozen
 class TelemetrySettings:
     """Logs."""
@@ -187,6 +198,7 @@
     seed: int = 0
     admission: AdmissionSettings = AdmissionSettings()
     routing: RoutingSettings = RoutingSettings()
+    configuration: ConfigurationSettings = ConfigurationSettings()
     telemetry: TelemetrySettings = TelemetrySettings()
 
     parameter_constraints: ClassVar[dict[str, Constraint]] = {
