--- a/knapweedlead/daemon/_composition.py
+++ b/knapweedlead/daemon/_composition.py
@@ -14,7 +14,10 @@
 )
 from knapweedlead.membership import BootstrapRole, MembershipRole
 from knapweedlead.node import Identity, Node, StoreCalls
+from knapweedlead.operators import CatalogueFeedRole
 from knapweedlead.requests import OnceRole
+from knapweedlead.retries import RetryPolicy
+from knapweedlead.routing import Router
 from knapweedlead.settings import DaemonSettings
 
 
@@ -71,8 +74,13 @@
     bootstrap = BootstrapRole(membership, store_calls, rng)
     accounts = AccountsRole()
     once = OnceRole()
-    guard = GuardRole(identity, backend_server.slots, configuration, rng)
-    entry = EntryRole(configuration, membership, accounts, once, guard, rng)
+    guard = GuardRole(identity, backend_server, settings.admission, configuration, rng)
+    routing = settings.routing
+    router = Router(identity, membership, routing.balancer, routing.ejector, rng)
+    retries = RetryPolicy(
+        routing.credit_policy, routing.backoff, routing.retry_budget, rng
+    )
+    entry = EntryRole(configuration, accounts, once, guard, router, retries, rng)
     operator = OperatorRole(identity, configuration, status, store_calls)
     roles = [
         membership,
@@ -84,6 +92,7 @@
         once,
         guard,
         entry,
+        CatalogueFeedRole(),
     ]
     return Composition(
         identity=identity,
--- a/knapweedlead/membership/_news.py
+++ b/knapweedlead/membership/_news.py
@@ -4,7 +4,7 @@
 
 from knapweedlead.membership._member import Member
 
-MAX_UPDATES = 8
+MAX_UPDATES = 16
 """Updates on one message."""
 
 SENDS_PER_DOUBLING = 2
--- a/knapweedlead/membership/_role.py
+++ b/knapweedlead/membership/_role.py
@@ -60,6 +60,10 @@
 """Seconds without a change after which tables should be equal."""
 SYNC_SECONDS = 5.0
 """Least seconds between full exchanges that a daemon asks for."""
+SETTLE_SECONDS = 10.0
+"""Seconds after the start in which tables are exchanged more often."""
+SETTLING_SYNC_SECONDS = 0.5
+"""Least seconds between full exchanges in that time."""
 DOUBTED_PROBES = 16
 """Doubted members probed after a full exchange."""
 FORGET_SECONDS = 60.0
@@ -107,6 +111,7 @@
         self.is_alone = False
         """Whether no seed answered at the start."""
         self._heard_at = 0.0
+        self._settles_at = 0.0
         self._next_probe = 0.0
         self._next_dead_probe = 0.0
         self._next_sync = 0.0
@@ -156,6 +161,7 @@
     @handles(Started)
     def on_started(self, event: Started, now: float) -> Iterator[Effect]:
         """Spread the times of the periodic work, and announce the daemon."""
+        self._settles_at = now + SETTLE_SECONDS
         self._next_probe = now + self.rng.random() * PROBE_SECONDS
         self._next_dead_probe = now + self.rng.random() * DEAD_PROBE_SECONDS
         self._next_forget = now + FORGET_SECONDS
@@ -299,8 +305,8 @@
             yield Notify(RevisionHeard(peer, heartbeat.revision))
         is_known = peer in self.by_link_address
         is_equal = heartbeat.digest == self.table.digest
-        is_quiet = now - self.view.changed_at >= QUIET_SECONDS
-        if not is_known or (is_quiet and not is_equal):
+        is_due = now - self.view.changed_at >= QUIET_SECONDS or now < self._settles_at
+        if not is_known or (is_due and not is_equal):
             yield from self.sync_with(peer, now)
 
     def _pass_on_leaving(self, names: list[str]) -> Iterator[Effect]:
@@ -315,7 +321,8 @@
         """Ask a peer for a full exchange, unless there was one just now."""
         if now < self._next_sync:
             return
-        self._next_sync = now + SYNC_SECONDS * (0.5 + self.rng.random())
+        period = SETTLING_SYNC_SECONDS if now < self._settles_at else SYNC_SECONDS
+        self._next_sync = now + period * (0.5 + self.rng.random())
         yield Count("knapweedlead.membership.syncs")
         yield SendMessage(peer, sync_request(self.own, self.table))
 
