--- a/knapweedlead/daemon/_composition.py
+++ b/knapweedlead/daemon/_composition.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from knapweedlead.accounts import AccountsRole
+from knapweedlead.accounts import AccountsRole, MeterContext
 from knapweedlead.calls import EntryRole, GuardRole
 from knapweedlead.configuration import (
     SPREADING,
@@ -15,6 +15,7 @@
 from knapweedlead.membership import BootstrapRole, MembershipRole
 from knapweedlead.node import Identity, Node, StoreCalls
 from knapweedlead.operators import CatalogueFeedRole
+from knapweedlead.ownership import OwnershipRole
 from knapweedlead.requests import OnceRole
 from knapweedlead.retries import RetryPolicy
 from knapweedlead.routing import Router
@@ -29,6 +30,8 @@
     node: Node
     configuration: ConfigurationRole
     membership: MembershipRole
+    bootstrap: BootstrapRole
+    ownership: OwnershipRole
     accounts: AccountsRole
     once: OnceRole
     guard: GuardRole
@@ -72,7 +75,18 @@
     configuration = ConfigurationRole(store_calls, membership, spreading, rng)
     status = StatusRole(membership, configuration)
     bootstrap = BootstrapRole(membership, store_calls, rng)
-    accounts = AccountsRole()
+    ownership = OwnershipRole(
+        identity,
+        membership,
+        store_calls,
+        settings.ownership.times,
+        settings.ownership.slots,
+    )
+    accounts = AccountsRole(
+        configuration,
+        MeterContext(identity, membership, ownership),
+        settings.accounts.meter,
+    )
     once = OnceRole()
     guard = GuardRole(identity, backend_server, settings.admission, configuration, rng)
     routing = settings.routing
@@ -90,6 +104,7 @@
         operator,
         accounts,
         once,
+        ownership,
         guard,
         entry,
         CatalogueFeedRole(),
@@ -99,6 +114,8 @@
         node=Node(roles),
         configuration=configuration,
         membership=membership,
+        bootstrap=bootstrap,
+        ownership=ownership,
         accounts=accounts,
         once=once,
         guard=guard,
--- a/standins/cores.py
+++ b/standins/cores.py
@@ -191,6 +191,8 @@
         self.rng = random.Random(seed)
         self.delay = delay
         self.loss = 0.0
+        self.repeated = 0.0
+        """Share of messages that arrive a second time, later."""
         self.now = 0.0
         self.store = CoreStore()
         self.by_name: dict[str, Core] = {}
@@ -199,8 +201,10 @@
         self.cut_from_store: set[str] = set()
         self.messages_sent = 0
         self.delay_of: Callable[[Core, Core], float] = lambda a, b: self.delay
+        self.alter: Callable[[Any], list[Any]] = lambda message: [message]
+        """Messages that arrive in place of one that was sent."""
         self._by_address: dict[str, Core] = {}
-        self._agenda: list[tuple[float, int, Callable[[], None]]] = []
+        self._agenda: list[tuple[float, int, Callable[[], object]]] = []
         self._order = itertools.count()
         self._exchanges = itertools.count(1)
 
@@ -310,7 +314,7 @@
         self.cut_pairs.clear()
         self.cut_from_store.clear()
 
-    def at(self, time: float, action: Callable[[], None]) -> None:
+    def at(self, time: float, action: Callable[[], object]) -> None:
         """Do something at a time."""
         heapq.heappush(self._agenda, (time, next(self._order), action))
 
@@ -419,8 +423,13 @@
         self._open_link(core, peer)
         if (core.name, other.name) in self.cut_pairs or self.rng.random() < self.loss:
             return
-        event = MessageReceived(core.address, message)
-        self.at(self.now + self.delay_of(core, other), self._reporting(other, event))
+        for arriving in self.alter(message):
+            event = MessageReceived(core.address, arriving)
+            at = self.now + self.delay_of(core, other)
+            self.at(at, self._reporting(other, event))
+            if self.repeated and self.rng.random() < self.repeated:
+                later = at + self.rng.expovariate(1.0)
+                self.at(later, self._reporting(other, event))
 
     def _open_link(self, core: Core, peer: str) -> None:
         other = self._by_address.get(peer)
