--- a/knapweedlead/settings/__init__.py
+++ b/knapweedlead/settings/__init__.py
@@ -2,9 +2,11 @@
 
 from knapweedlead.settings._loader import build_settings, load_settings
 from knapweedlead.settings._schema import (
+    AccountsSettings,
     Address,
     AdmissionSettings,
     BackendServerSettings,
+    ConfigurationSettings,
     DaemonSettings,
     OwnershipSettings,
     RoutingSettings,
@@ -17,6 +19,7 @@
     "Address",
     "AdmissionSettings",
     "BackendServerSettings",
+    "ConfigurationSettings",
     "DaemonSettings",
     "OwnershipSettings",
     "RoutingSettings",
--- a/knapweedlead/telemetry/_catalogue.py
+++ b/knapweedlead/telemetry/_catalogue.py
@@ -198,6 +198,30 @@
         "Bytes of messages on links, for calls and for control.",
         (_DIRECTION, _PURPOSE),
     ),
+    MetricSpec(
+        "knapweedlead.membership.syncs",
+        MetricKind.COUNTER,
+        "{exchange}",
+        "Full exchanges of the member table that this daemon asked for.",
+    ),
+    MetricSpec(
+        "knapweedlead.configuration.pushes",
+        MetricKind.COUNTER,
+        "{message}",
+        "Changes of configuration passed on to another daemon.",
+    ),
+    MetricSpec(
+        "knapweedlead.configuration.pulls",
+        MetricKind.COUNTER,
+        "{message}",
+        "Requests to a daemon for a higher revision.",
+    ),
+    MetricSpec(
+        "knapweedlead.configuration.refused",
+        MetricKind.COUNTER,
+        "{message}",
+        "Catalogues and changes that did not validate.",
+    ),
     MetricSpec(
         "knapweedlead.messages.unhandled",
         MetricKind.COUNTER,
