--- a/knapweedlead/messages/_codec.py
+++ b/knapweedlead/messages/_codec.py
@@ -182,9 +182,9 @@
     def unpack(by_key: Any) -> Any:
         if type(by_key) is not dict:
             raise _MalformedError(f"expected a map, got {type(by_key).__name__}")
-        if plain and plain.issuperset(map(type, by_key)):
-            if plain.issuperset(map(type, by_key.values())):
-                return by_key
+        types = {*map(type, by_key), *map(type, by_key.values())}
+        if plain and types <= plain:
+            return by_key
         return {key_of(key): value_of(value) for key, value in by_key.items()}
 
     return unpack
