Leave what was loaded at start out of garbage collections

Cause: a collection of all objects stops the loop. Change: freeze after the start, and collect less often. Conclusion: kept for the length of the pause, not for processor time.

--- a/knapweedlead/daemon/main.py
+++ b/knapweedlead/daemon/main.py
@@ -12,6 +12,7 @@
 from result import Err
 
 from knapweedlead.daemon._composition import compose
+from knapweedlead.daemon._garbage import tune_garbage_collector
 from knapweedlead.daemon._lifecycle import Lifecycle
 from knapweedlead.daemon._operator_door import open_operator_api
 from knapweedlead.daemon._shell import Shell
@@ -49,6 +50,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
     await lifecycle.start()
+    tune_garbage_collector()
     await stopped.wait()
     await lifecycle.stop()
 
