--- a/knapweedlead/transport/_http_caller.py
+++ b/knapweedlead/transport/_http_caller.py
@@ -184,7 +184,8 @@
         self.exchange = 0
         self._active_at = asyncio.get_running_loop().time()
         has_more = self._waiting or self._refusal
-        is_last = self._is_last or (self._is_stopping and not has_more)
+        is_leaving = self._is_stopping or self.server.is_leaving
+        is_last = self._is_last or (is_leaving and not has_more)
         self.transport.write(
             response_bytes(status, headers, body, is_last, self._is_head_method)
         )
--- a/knapweedlead/transport/_http_server.py
+++ b/knapweedlead/transport/_http_server.py
@@ -72,6 +72,7 @@
         self._protocol_by_exchange: dict[int, CallerProtocol] = {}
         self._protocols: set[CallerProtocol] = set()
         self._server: asyncio.Server | None = None
+        self.is_leaving = False
         self._sweeper: asyncio.TimerHandle | None = None
 
     async def start(self, address: str) -> None:
@@ -96,6 +97,10 @@
         """Exchanges without a reply."""
         return len(self._protocol_by_exchange)
 
+    def announce_close(self) -> None:
+        """Answer each connection's next request with ``Connection: close``."""
+        self.is_leaving = True
+
     @property
     def open_connections(self) -> int:
         """Connections of callers."""
