--- a/knapweedlead/messages/_codec.py
+++ b/knapweedlead/messages/_codec.py
@@ -5,7 +5,6 @@
 """
 
 import io
-import itertools
 import typing
 from collections.abc import Callable
 from operator import attrgetter
@@ -183,8 +182,8 @@
     def unpack(by_key: Any) -> Any:
         if type(by_key) is not dict:
             raise _MalformedError(f"expected a map, got {type(by_key).__name__}")
-        values = by_key.values()
-        if plain and plain.issuperset(map(type, itertools.chain(by_key, values))):
+        types = {*map(type, by_key), *map(type, by_key.values())}
+        if plain and types <= plain:
             return by_key
         return {key_of(key): value_of(value) for key, value in by_key.items()}
 
