--- a/knapweedlead/admission/_adaptive.py
+++ b/knapweedlead/admission/_adaptive.py
@@ -1,5 +1,6 @@
 """A limit that follows the measured speed and failures of a backend server."""
 
+import math
 import statistics
 from typing import ClassVar
 
@@ -10,14 +11,17 @@
 WINDOW_SECONDS = 0.2
 """Least time between two changes of the limit."""
 
-WINDOW_SAMPLES = 32
+WINDOW_SAMPLES = 16
 """Least samples between two changes of the limit."""
 
 MAX_WINDOW_SAMPLES = 1024
 """Samples kept of a window."""
 
-TOLERATED_SLOWDOWN = 1.5
-"""Median slowdown above which the limit falls."""
+TOLERATED_SLOWDOWN = 1.3
+"""Median slowdown above which two windows in a row lower the limit."""
+
+CERTAIN_SLOWDOWN = 2.0
+"""Median slowdown above which one window lowers the limit."""
 
 TOLERATED_FAILURES = 0.1
 """Share of failures above which the limit falls."""
@@ -65,9 +69,11 @@
         self.slots = slots
         self._limit = float(slots)
         self._opened_at: float | None = None
+        self._changed_at = -math.inf
         self._slowdowns: list[float] = []
         self._failures = 0
         self._most_in_flight = 0
+        self._is_slow = False
         self._reference = 1.0
         self._trial: tuple[float, float] | None = None
 
@@ -77,30 +83,39 @@
         return max(1, round(self._limit))
 
     def observe(self, sample: Sample, now: float) -> None:
-        """Take up how a call fared; a full window may change the limit."""
+        """Take up how a call fared; a full window may change the limit.
+
+        Calls that started under the limit before do not count.
+        """
         if self._opened_at is None:
             self._opened_at = now
+        if sample.started_at < self._changed_at:
+            return
         if len(self._slowdowns) < MAX_WINDOW_SAMPLES:
             self._slowdowns.append(sample.slowdown)
             self._failures += sample.is_failure
         self._most_in_flight = max(self._most_in_flight, sample.in_flight)
         is_long = now - self._opened_at >= WINDOW_SECONDS
         if is_long and len(self._slowdowns) >= WINDOW_SAMPLES:
-            self._close_window()
-            self._opened_at = now
+            self._close_window(now)
 
-    def _close_window(self) -> None:
+    def _close_window(self, now: float) -> None:
+        self._opened_at = now
+        before = self._limit
         slowdown = statistics.median(self._slowdowns)
         failures = self._failures / len(self._slowdowns)
         if failures > TOLERATED_FAILURES:
             self._lower(USUAL_DECREASE)
-        elif slowdown > TOLERATED_SLOWDOWN * self._reference:
-            self._lower_on_trial(slowdown)
-        else:
+        elif slowdown <= TOLERATED_SLOWDOWN * self._reference:
             self._settle(slowdown)
+        elif self._is_slow or slowdown > CERTAIN_SLOWDOWN * self._reference:
+            self._lower_on_trial(slowdown)
+        self._is_slow = slowdown > TOLERATED_SLOWDOWN * self._reference
         self._slowdowns.clear()
         self._failures = 0
         self._most_in_flight = 0
+        if self._limit < before:
+            self._changed_at = now
 
     def _lower_on_trial(self, slowdown: float) -> None:
         if self._trial is None:
--- a/knapweedlead/admission/_calls.py
+++ b/knapweedlead/admission/_calls.py
@@ -48,8 +48,11 @@
         Whether the backend server itself failed.
     in_flight : int
         Calls that ran when this one ended, itself included.
+    started_at : float
+        Seconds on the clock of ``now``; the limits that held then shaped it.
     """
 
     slowdown: float
     is_failure: bool
     in_flight: int
+    started_at: float
--- a/knapweedlead/admission/_control.py
+++ b/knapweedlead/admission/_control.py
@@ -18,7 +18,10 @@
 BUDGET_SHARE = 0.5
 """Share of a call's time budget up to which its usual time is asked of it."""
 
-STALLED_SLOWDOWN = 4.0
+SLOW_SLOWDOWN = 1.5
+"""Slowdown from which a call that was given up counts as slow."""
+
+STALLED_SLOWDOWN = 3.0
 """Slowdown from which a call without an answer counts as slow."""
 
 
@@ -40,6 +43,8 @@
         Whether the backend server itself failed.
     is_whole : bool
         Whether the call was answered, so that its times are known.
+    is_counted : bool
+        Whether the call was already counted as far too slow.
     """
 
     route: str
@@ -48,6 +53,7 @@
     has_children: bool
     is_failure: bool
     is_whole: bool
+    is_counted: bool = False
 
 
 class AdmissionControl:
@@ -156,17 +162,22 @@
         if measured.is_whole:
             self._own_times.add(key, measured.own_s, now)
             self._total_times.add(measured.route, measured.total_s, now)
-        elif not measured.is_failure:
-            return
-        self._observe(Sample(slowdown, measured.is_failure, in_flight), now)
+        is_telling = (
+            measured.is_whole or measured.is_failure or slowdown >= SLOW_SLOWDOWN
+        )
+        if is_telling and not measured.is_counted:
+            started_at = now - measured.total_s
+            sample = Sample(slowdown, measured.is_failure, in_flight, started_at)
+            self._observe(sample, now)
 
     def is_stalled(self, route: str, own_s: float) -> bool:
         """Return whether a call without answer or child call is far too slow."""
         return self._own_times.slowdown(route, own_s) >= STALLED_SLOWDOWN
 
-    def note_stalled(self, now: float) -> None:
+    def note_stalled(self, started_at: float, now: float) -> None:
         """Take up that a running call is far too slow."""
-        self._observe(Sample(STALLED_SLOWDOWN, False, self.in_flight), now)
+        sample = Sample(STALLED_SLOWDOWN, False, self.in_flight, started_at)
+        self._observe(sample, now)
 
     def fire(self, event: str, now: float) -> None:
         """Hand an event of ``backend_server.json`` to the cold start."""
--- a/knapweedlead/admission/tests/test_cold_starts.py
+++ b/knapweedlead/admission/tests/test_cold_starts.py
@@ -6,9 +6,9 @@
 
 SLOTS, COLD_SLOTS, COLD_SECONDS = 150, 4, 10.0
 
-GOOD = Sample(1.0, False, 1)
-SLOW = Sample(5.0, False, 1)
-FAILED = Sample(0.1, True, 1)
+GOOD = Sample(1.0, False, 1, 0.0)
+SLOW = Sample(5.0, False, 1, 0.0)
+FAILED = Sample(0.1, True, 1, 0.0)
 
 
 def limits_over(policy, start, seconds):
@@ -77,6 +77,28 @@
     assert policy.state == "ramping"
 
 
+def test_ramp_waits_for_calls_that_show_what_the_server_bears():
+    policy = RampColdStart(SLOTS, COLD_SLOTS, COLD_SECONDS)
+    policy.fire("start_seen", 0.0)
+    for step in range(1000):
+        policy.advance(step / 10)
+    assert (policy.state, policy.limit) == ("ramping", COLD_SLOTS)
+
+
+def test_failures_in_the_ramp_begin_the_cold_start_again_for_twice_as_long():
+    policy = RampColdStart(SLOTS, COLD_SLOTS, COLD_SECONDS)
+    policy.fire("start_seen", 0.0)
+    policy.advance(10.0)
+    for _ in range(2):
+        policy.observe(FAILED, 10.2)
+    policy.advance(10.5)
+    assert policy.state == "cold"
+    policy.advance(30.4)
+    assert policy.state == "cold"
+    policy.advance(30.5)
+    assert policy.state == "ramping"
+
+
 def test_drain_keeps_the_limit_of_the_cold_start():
     policy = RampColdStart(SLOTS, COLD_SLOTS, COLD_SECONDS)
     policy.fire("start_seen", 0.0)
--- a/knapweedlead/admission/tests/test_limiters.py
+++ b/knapweedlead/admission/tests/test_limiters.py
@@ -16,7 +16,7 @@
         in_flight = limiter.limit
         crowding = max(1.0, in_flight / capacity) ** sensitivity
         slowdown = crowding * rng.lognormvariate(0.0, 0.4)
-        limiter.observe(Sample(slowdown, False, in_flight), now)
+        limiter.observe(Sample(slowdown, False, in_flight, now), now)
         now += 0.002
     return now
 
@@ -38,7 +38,7 @@
     limits = []
     while now < 20.0:
         slowdown = 2.5 * rng.lognormvariate(0.0, 0.4)
-        limiter.observe(Sample(slowdown, False, limiter.limit), now)
+        limiter.observe(Sample(slowdown, False, limiter.limit, now), now)
         limits.append(limiter.limit)
         now += 0.002
     assert min(limits[len(limits) // 2 :]) >= 0.9 * SLOTS
@@ -47,5 +47,5 @@
 def test_failures_lower_the_limit_but_never_to_nothing():
     limiter = AdaptiveLimiter(SLOTS)
     for step in range(20_000):
-        limiter.observe(Sample(0.1, True, limiter.limit), step * 0.01)
+        limiter.observe(Sample(0.1, True, limiter.limit, step * 0.01), step * 0.01)
     assert limiter.limit == 5
--- a/knapweedlead/calls/_guard_work.py
+++ b/knapweedlead/calls/_guard_work.py
@@ -81,6 +81,7 @@
             has_children=child_at is not None,
             is_failure=is_failure and child_at is None and not state.is_cancelled,
             is_whole=is_whole,
+            is_counted=state.is_stalled,
         )
         self.control.end(call.run, measured, now)
         return state
@@ -136,7 +137,7 @@
                 continue
             if self.control.is_stalled(call.request.route, now - call.started_at):
                 state.is_stalled = True
-                self.control.note_stalled(now)
+                self.control.note_stalled(call.started_at, now)
 
 
 def _queued(call: RunningCall, weight: float) -> QueuedCall:
--- a/knapweedlead/calls/tests/test_guard.py
+++ b/knapweedlead/calls/tests/test_guard.py
@@ -299,15 +299,16 @@
 @pytest.mark.parametrize("sign", ["identity", "refused"])
 def test_restart_of_the_backend_server_begins_a_cold_start(sign):
     bench = Bench(slots=50, cold_slots=3, cold_start_s=5.0)
-    for step in range(1, 200):
-        bench.report(Tick(), step / 10)
+    for run in range(1, 200):
+        bench.report(Tick(), run / 10)
+        bench.send()
+        bench.answer(run, **{"knapweedlead-start-identity": "a"})
     assert not bench.guard.load_report(bench.now).is_cold
-    bench.fill(4)
+    bench.fill(3)
     if sign == "identity":
-        bench.answer(1, **{"knapweedlead-start-identity": "a"})
-        bench.answer(2, **{"knapweedlead-start-identity": "b"})
+        bench.answer(200, **{"knapweedlead-start-identity": "b"})
     else:
-        for run in (1, 2, 3):
+        for run in (200, 201, 202):
             bench.report(RunFailed(run, False, "refused"))
     assert bench.guard.load_report(bench.now).is_cold
 
--- a/standins/scenarios.py
+++ b/standins/scenarios.py
@@ -21,6 +21,9 @@
 
 CLIENT_BACKOFF_SECONDS = 0.05
 
+RECOVERY_WINDOW_SECONDS = 2.0
+RECOVERY_STEP_SECONDS = 0.5
+
 
 @attrs.frozen
 class ServiceModel:
@@ -113,6 +116,8 @@
         Whether backend servers stop work that was cancelled.
     cold_start_s : float
         Seconds of a cold start that the daemons are told.
+    true_cold_s : float or None
+        Seconds that a cold start takes; None for what the daemons are told.
     settings : dict
         Further settings of each daemon.
     """
@@ -124,12 +129,14 @@
         client: Client | None = None,
         heeds_cancel: bool = True,
         cold_start_s: float = 0.0,
+        true_cold_s: float | None = None,
         **settings: Any,
     ) -> None:
         self.model = model
         self.client = client or Client()
         self.heeds_cancel = heeds_cancel
         self.cold_start_s = cold_start_s
+        self.true_cold_s = cold_start_s if true_cold_s is None else true_cold_s
         self.settings = settings
         self.rng = random.Random(seed)
         self.ledger = WorkLedger()
@@ -165,6 +172,7 @@
             ledger=self.ledger,
             capacity=service.slots,
             cold_slots=cold_slots,
+            cold_s=self.true_cold_s,
             heeds_cancel=self.heeds_cancel,
         )
         name = f"{service.name}-{number}"
@@ -223,9 +231,7 @@
         }
         return {"revision": 1, "resources": resources}
 
-    def drive(
-        self, rate_by_service: dict[str, float], seconds: float, flood: str = ""
-    ) -> None:
+    def drive(self, rate_by_service: dict[str, float], seconds: float) -> None:
         """Let needs arrive at random for some time and run the clock.
 
         Parameters
@@ -234,26 +240,34 @@
             Needs a second.
         seconds : float
             How long.
-        flood : str
-            Account that alone brings the demand; empty shares it out.
         """
-        until = self.cores.now + seconds
         for service, rate in rate_by_service.items():
-            if rate > 0.0:
-                self._arrive(service, rate, until, flood)
-        self.cores.run_until(until)
+            self.start_arrivals(service, rate, seconds)
+        self.cores.run_for(seconds)
+
+    def start_arrivals(
+        self, service: str, rate: float, seconds: float, account: str = ""
+    ) -> None:
+        """Let needs of a service arrive from now on, of one account or of all."""
+        if rate > 0.0:
+            self._arrive(service, rate, self.cores.now + seconds, account)
+
+    def announce_start(self, service: str, number: int) -> None:
+        """Tell a daemon that its backend server has started anew."""
+        core = self.cores.by_name[f"{service}-{number}"]
+        core.composition.guard.control.fire("start_seen", self.cores.now)
 
-    def _arrive(self, service: str, rate: float, until: float, flood: str) -> None:
+    def _arrive(self, service: str, rate: float, until: float, only: str) -> None:
         at = self.cores.now + self.rng.expovariate(rate)
         if at >= until:
             return
 
         def arrived() -> None:
-            account = flood or self._account()
+            account = only or self._account()
             need = Need(next(self._numbers), service, account, self.cores.now)
             self.needs.append(need)
             self._try(need)
-            self._arrive(service, rate, until, flood)
+            self._arrive(service, rate, until, only)
 
         self.cores.at(at, arrived)
 
@@ -297,6 +311,25 @@
         )
         return served / (end - start)
 
+    def seconds_to_recover(self, start: float, end: float, level: float) -> float:
+        """Return the seconds after `start` from which needs are served as before.
+
+        The share served of the needs begun is taken over windows of 2 s that
+        start every 0.5 s, so that the chance number of arrivals does not count.
+        """
+        count = int((end - start - RECOVERY_WINDOW_SECONDS) / RECOVERY_STEP_SECONDS)
+        begins = [start + n * RECOVERY_STEP_SECONDS for n in range(count + 1)]
+        short = [
+            begin
+            for begin in begins
+            if self.share_served(begin, begin + RECOVERY_WINDOW_SECONDS) < level
+        ]
+        if not short:
+            return 0.0
+        if short[-1] == begins[-1]:
+            return float("inf")
+        return short[-1] + RECOVERY_STEP_SECONDS - start
+
     def share_served(
         self, start: float, end: float, service: str = "", account: str = ""
     ) -> float:
