--- a/knapweedlead/admission/_adaptive.py
+++ b/knapweedlead/admission/_adaptive.py
@@ -32,7 +32,7 @@
 USUAL_DECREASE = 0.9
 """Greatest factor by which a slow window lowers the limit."""
 
-INCREASE_SHARE = 0.05
+INCREASE_SHARE = 0.1
 """Share of the slots by which one window raises the limit."""
 
 FLOOR_SHARE = 0.05
--- a/knapweedlead/admission/_control.py
+++ b/knapweedlead/admission/_control.py
@@ -78,6 +78,7 @@
         queue: str = "priority_fair",
         cold_start: str = "ramp",
     ) -> None:
+        self.slots = slots
         self.limiter = LIMITERS.create(limiter, slots=slots)
         self.queue = QUEUES.create(queue)
         self.cold_start = COLD_STARTS.create(
@@ -160,8 +161,9 @@
         key = _own_key(measured.route, measured.has_children)
         slowdown = self._own_times.slowdown(key, measured.own_s)
         if measured.is_whole:
-            self._own_times.add(key, measured.own_s, now)
-            self._total_times.add(measured.route, measured.total_s, now)
+            is_squeezed = self.limit < self.slots
+            self._own_times.add(key, measured.own_s, now, is_squeezed)
+            self._total_times.add(measured.route, measured.total_s, now, is_squeezed)
         is_telling = (
             measured.is_whole or measured.is_failure or slowdown >= SLOW_SLOWDOWN
         )
--- a/knapweedlead/admission/_route_times.py
+++ b/knapweedlead/admission/_route_times.py
@@ -17,15 +17,17 @@
 MEDIANS_KEPT = 32
 """Windows from which the usual time is taken."""
 
+MEDIANS_NEEDED = 3
+"""Windows before which no usual time is known."""
+
 MAX_ROUTES = 256
 """Routes that are kept; the one first seen gives way to a new one."""
 
-_QUARTER = 4
-
 
 @attrs.define
 class _RouteTimes:
     opened_at: float
+    is_squeezed: bool = False
     window: list[float] = attrs.field(factory=list)
     medians: deque[float] = attrs.field(factory=lambda: deque(maxlen=MEDIANS_KEPT))
     usual: float = 0.0
@@ -34,8 +36,9 @@
 class RouteTimes:
     """Learns the usual time of each route's calls.
 
-    The usual time is the lower quartile of the medians of the last windows: one
-    slow period does not pass for usual until it fills most of the windows.
+    The usual time is the median of the medians of the last windows. While the
+    limit is lowered only faster windows count: else the slowness that keeps the
+    limit low would come to pass for usual, and let it rise.
     """
 
     def __init__(self) -> None:
@@ -54,11 +57,26 @@
         usual = self.usual(route)
         return seconds / usual if usual > 0.0 else 1.0
 
-    def add(self, route: str, seconds: float, now: float) -> None:
-        """Take up the time of one call."""
+    def add(
+        self, route: str, seconds: float, now: float, is_squeezed: bool = False
+    ) -> None:
+        """Take up the time of one call.
+
+        Parameters
+        ----------
+        route : str
+            Route, or another name of a kind of call.
+        seconds : float
+            Time of the call.
+        now : float
+            Seconds, monotonic.
+        is_squeezed : bool
+            Whether the limit is below the slots of the backend server.
+        """
         times = self._by_route.get(route)
         if times is None:
             times = self._open(route, now)
+        times.is_squeezed |= is_squeezed
         if len(times.window) < MAX_WINDOW_SAMPLES:
             times.window.append(seconds)
         is_long = now - times.opened_at >= WINDOW_SECONDS
@@ -72,7 +90,12 @@
         return times
 
     def _close_window(self, times: _RouteTimes, now: float) -> None:
-        times.medians.append(statistics.median(times.window))
-        times.usual = sorted(times.medians)[len(times.medians) // _QUARTER]
+        median = statistics.median(times.window)
+        is_slow = bool(times.usual) and median > times.usual
+        if not (times.is_squeezed and is_slow):
+            times.medians.append(median)
+        if len(times.medians) >= MEDIANS_NEEDED:
+            times.usual = statistics.median(times.medians)
         times.window.clear()
+        times.is_squeezed = False
         times.opened_at = now
