Rates: protocol machine with the two patterns that lose tokens twice

Cause: random rules alone did not reach an owner that grants too early, nor a token given back after its report.

--- a/knapweedlead/accounts/tests/test_protocol_machine.py
+++ b/knapweedlead/accounts/tests/test_protocol_machine.py
@@ -1,7 +1,7 @@
 """Ledger and holdings keep the rate whatever the network does with messages."""
 
 import hypothesis.strategies as st
-from hypothesis import HealthCheck, settings
+from hypothesis import HealthCheck, settings, target
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     initialize,
@@ -16,7 +16,8 @@
 
 RATE = 2.0
 BURST = 6.0
-ENTRIES = ("a", "b", "c")
+ENTRIES = ("a", "b")
+PAUSES = st.sampled_from([0.01, 0.5, 1.0, 2.5, 2.9, 3.1])
 entries = st.sampled_from(ENTRIES)
 
 
@@ -35,11 +36,15 @@
         self.grants: list[tuple[str, TokenGrant]] = []
         self.spent_at: list[float] = []
 
-    @rule(seconds=st.sampled_from([0.01, 0.2, 0.5, 1.0, 2.9, 3.1]))
+    @rule(seconds=PAUSES)
     def wait(self, seconds):
         self.now += seconds
 
-    @rule(entry=entries, returned=st.integers(0, 3), wanted=st.integers(0, 8))
+    @rule(
+        entry=entries,
+        returned=st.sampled_from([0, 0, 2]),
+        wanted=st.sampled_from([0, 8]),
+    )
     def ask(self, entry, returned, wanted):
         holding = self.holding_by_entry[entry]
         holding.expire(self.now)
@@ -61,7 +66,7 @@
             )
         )
 
-    @rule(index=st.integers(0, 50), is_kept=st.booleans())
+    @rule(index=st.integers(0, 3), is_kept=st.booleans())
     def deliver_request(self, index, is_kept):
         if not self.requests:
             return
@@ -86,7 +91,7 @@
             )
             self.grants.append((request.entry, grant))
 
-    @rule(index=st.integers(0, 50), is_kept=st.booleans())
+    @rule(index=st.integers(0, 3), is_kept=st.booleans())
     def deliver_grant(self, index, is_kept):
         if not self.grants:
             return
@@ -97,7 +102,7 @@
         if grant.incarnation == self.incarnation_by_entry[entry]:
             self.holding_by_entry[entry].accept(grant, self.now)
 
-    @rule(entry=entries, count=st.integers(1, 8))
+    @rule(entry=entries, count=st.sampled_from([1, 8]))
     def spend(self, entry, count):
         holding = self.holding_by_entry[entry]
         holding.expire(self.now)
@@ -105,6 +110,18 @@
             holding.spend(len(self.spent_at))
             self.spent_at.append(self.now)
 
+    @rule(entry=entries, wanted=st.sampled_from([1, 4, 8]))
+    def exchange(self, entry, wanted):
+        self.ask(entry, 0, wanted)
+        self.deliver_request(-1, is_kept=False)
+        if self.now >= self.opens_at:
+            self.deliver_grant(-1, is_kept=False)
+
+    @rule()
+    def spend_everything(self):
+        for entry in ENTRIES:
+            self.spend(entry, 100)
+
     @rule(entry=entries)
     def give_back(self, entry):
         holding = self.holding_by_entry[entry]
@@ -113,6 +130,11 @@
             holding.held += 1
             self.spent_at[ticket] = float("inf")
 
+    def teardown(self):
+        if hasattr(self, "spent_at"):
+            times = sorted(time for time in self.spent_at if time != float("inf"))
+            target(most_over_rate(times, RATE))
+
     @rule(entry=entries)
     def restart_entry(self, entry):
         self.holding_by_entry[entry] = Holding("crew", 0)
@@ -132,6 +154,24 @@
         self.epoch += 1
         self.ledger = ledger_of(self.ledger.state("crew"), RATE, BURST, self.now)
 
+    @rule(pause=PAUSES, first=entries, second=entries)
+    def fail_over(self, pause, first, second):
+        self.exchange(first, 8)
+        self.lose_owner()
+        self.wait(pause)
+        self.exchange(second, 8)
+        self.spend_everything()
+
+    @rule(pause=PAUSES, entry=entries)
+    def give_back_late(self, pause, entry):
+        self.exchange(entry, 8)
+        self.spend(entry, 1)
+        self.exchange(entry, 1)
+        self.wait(pause)
+        self.give_back(entry)
+        self.exchange(entry, 8)
+        self.spend_everything()
+
     @invariant()
     def rate_holds_in_every_window(self):
         times = sorted(time for time in self.spent_at if time != float("inf"))
@@ -143,8 +183,8 @@
 
 
 ProtocolMachine.TestCase.settings = settings(
-    max_examples=150,
-    stateful_step_count=50,
+    max_examples=200,
+    stateful_step_count=30,
     deadline=None,
     suppress_health_check=list(HealthCheck),
 )
