Once records with the slot owner, copied to its backup before a claim is granted

Cause: a record in one daemon alone lets a repeat at another entry run again. Not yet: tests of its own.

--- a/knapweedlead/daemon/_composition.py
+++ b/knapweedlead/daemon/_composition.py
@@ -78,7 +78,7 @@
         MeterContext(identity, membership, ownership),
         settings.accounts.meter,
     )
-    once = OnceRole()
+    once = OnceRole(identity, membership, ownership, store_calls)
     guard = GuardRole(identity, backend_server, settings.admission, configuration, rng)
     routing = settings.routing
     router = Router(identity, membership, routing.balancer, routing.ejector, rng)
--- a/knapweedlead/ownership/_events.py
+++ b/knapweedlead/ownership/_events.py
@@ -34,12 +34,15 @@
         Time from which the daemon may act, on the clock of ``now``.
     takeover : Takeover
         The evidence.
+    appointment : int
+        Appointment as a backup under which it took over; 0 for none.
     """
 
     slot: int
     epoch: int
     acts_from: float
     takeover: Takeover
+    appointment: int = 0
 
 
 @attrs.frozen
--- a/knapweedlead/ownership/_role.py
+++ b/knapweedlead/ownership/_role.py
@@ -451,7 +451,10 @@
             (("slot", record.slot), ("epoch", record.epoch), ("by", takeover.value)),
         )
         yield Count("knapweedlead.slots.acquired", (("by", takeover.value),))
-        yield Notify(SlotAcquired(record.slot, record.epoch, acts_from, takeover))
+        number = guard.appointment if guard is not None else 0
+        yield Notify(
+            SlotAcquired(record.slot, record.epoch, acts_from, takeover, number)
+        )
 
     def _lose(self, slot: int) -> Iterator[Effect]:
         if self.owned_by_slot.pop(slot, None) is not None:
