--- a/knapweedlead/daemon/_composition.py
+++ b/knapweedlead/daemon/_composition.py
@@ -6,8 +6,13 @@
 
 from knapweedlead.accounts import AccountsRole, MeterContext
 from knapweedlead.calls import EntryRole, GuardRole
-from knapweedlead.configuration import ConfigurationRole, OperatorRole
-from knapweedlead.membership import MembershipRole
+from knapweedlead.configuration import (
+    SPREADING,
+    ConfigurationRole,
+    OperatorRole,
+    StatusRole,
+)
+from knapweedlead.membership import BootstrapRole, MembershipRole
 from knapweedlead.node import Identity, Node, StoreCalls
 from knapweedlead.operators import CatalogueFeedRole
 from knapweedlead.ownership import OwnershipRole
@@ -25,6 +30,7 @@
     node: Node
     configuration: ConfigurationRole
     membership: MembershipRole
+    bootstrap: BootstrapRole
     ownership: OwnershipRole
     accounts: AccountsRole
     once: OnceRole
@@ -58,14 +64,17 @@
     )
     backend_server = settings.backend_server
     store_calls = StoreCalls()
-    configuration = ConfigurationRole(store_calls)
     membership = MembershipRole(
         identity,
         backend_server.slots,
         backend_server.cold_slots,
         backend_server.connections,
-        store_calls,
+        rng,
     )
+    spreading = SPREADING.create(settings.configuration.spreading, rng=rng)
+    configuration = ConfigurationRole(store_calls, membership, spreading, rng)
+    status = StatusRole(membership, configuration)
+    bootstrap = BootstrapRole(membership, store_calls, rng)
     ownership = OwnershipRole(
         identity,
         membership,
@@ -86,16 +95,18 @@
         routing.credit_policy, routing.backoff, routing.retry_budget, rng
     )
     entry = EntryRole(configuration, accounts, once, guard, router, retries, rng)
-    operator = OperatorRole(identity, configuration, membership, store_calls)
+    operator = OperatorRole(identity, configuration, status, store_calls)
     roles = [
-        configuration,
         membership,
+        bootstrap,
+        configuration,
+        status,
+        operator,
         accounts,
         once,
         ownership,
         guard,
         entry,
-        operator,
         CatalogueFeedRole(),
     ]
     return Composition(
@@ -103,6 +114,7 @@
         node=Node(roles),
         configuration=configuration,
         membership=membership,
+        bootstrap=bootstrap,
         ownership=ownership,
         accounts=accounts,
         once=once,
--- a/knapweedlead/settings/_schema.py
+++ b/knapweedlead/settings/_schema.py
@@ -154,6 +154,17 @@
     }
 
 
+@attrs.frozen
+class ConfigurationSettings:
+    """Name of the policy by which configuration spreads."""
+
+    spreading: str = "partitioned_tree"
+
+    parameter_constraints: ClassVar[dict[str, Constraint]] = {
+        "spreading": Choice(("flood", "gossip", "partitioned_tree"))
+    }
+
+
 @attrs.frozen
 class AccountsSettings:
     """Name of the policy that meters client accounts."""
@@ -233,6 +244,7 @@
     seed: int = 0
     admission: AdmissionSettings = AdmissionSettings()
     routing: RoutingSettings = RoutingSettings()
+    configuration: ConfigurationSettings = ConfigurationSettings()
     telemetry: TelemetrySettings = TelemetrySettings()
     ownership: OwnershipSettings = OwnershipSettings()
     accounts: AccountsSettings = AccountsSettings()
