--- /dev/null
+++ b/knapweedlead/requests/tests/claiming.py
@@ -0,0 +1,137 @@
+"""Fleets whose cores claim idempotency keys."""
+
+import itertools
+import random
+from collections.abc import Iterable
+from typing import Any
+
+import attrs
+
+from knapweedlead.load._keys import make_idempotency_key
+from knapweedlead.node import Count, Effect, Event, Node, Role, handles
+from knapweedlead.ownership import slot_of
+from knapweedlead.ownership.tests.fleets import SharedStateCores, actors, fleet
+from knapweedlead.requests import (
+    OnceClaimKey,
+    OnceDecided,
+    OnceDecision,
+    StoredAnswer,
+)
+
+ANSWER = StoredAnswer(201, {"content-type": "text/plain"}, b"ticket 1")
+
+
+@attrs.frozen
+class ClaimAsked(Event):
+    """A test asks a core to claim a key."""
+
+    key: OnceClaimKey
+    ticket: int
+
+
+@attrs.frozen
+class SettlementAsked(Event):
+    """A test says how a claimed request ended."""
+
+    key: OnceClaimKey
+    how: str
+
+
+@attrs.define
+class Claim:
+    """One claim and its decision."""
+
+    core: str
+    key: OnceClaimKey
+    decision: OnceDecision = OnceDecision.PENDING
+    answer: StoredAnswer | None = None
+
+
+class ClaimerRole(Role):
+    """Claims keys on the tests' behalf."""
+
+    def __init__(self, once: Any, decide: Any) -> None:
+        self.once = once
+        self.decide = decide
+
+    @handles(ClaimAsked)
+    def on_claim(self, event: ClaimAsked, now: float) -> Iterable[Effect]:
+        decision, answer, effects = self.once.claim(event.key, event.ticket, now)
+        if decision is not OnceDecision.PENDING:
+            self.decide(OnceDecided(event.ticket, decision, answer))
+        return [*effects, Count("claimed")]
+
+    @handles(SettlementAsked)
+    def on_settlement(self, event: SettlementAsked, now: float) -> Iterable[Effect]:
+        if event.how == "complete":
+            return self.once.complete(event.key, ANSWER, now)
+        if event.how == "release":
+            return self.once.release(event.key, now)
+        return self.once.mark_unknown(event.key, now)
+
+    @handles(OnceDecided)
+    def on_decided(self, event: OnceDecided, now: float) -> Iterable[Effect]:
+        self.decide(event)
+        return []
+
+
+class ClaimingCores(SharedStateCores):
+    """Cores that claim keys and keep every decision."""
+
+    def __init__(self, seed: int = 0) -> None:
+        super().__init__(seed)
+        self.claim_by_ticket: dict[int, Claim] = {}
+        self._tickets = itertools.count(1)
+
+    def _compose(self, settings: Any) -> Any:
+        composition = super()._compose(settings)
+        claimer = ClaimerRole(composition.once, self._decide)
+        return attrs.evolve(composition, node=Node([*composition.node.roles, claimer]))
+
+    def _decide(self, event: OnceDecided) -> None:
+        claim = self.claim_by_ticket[event.ticket]
+        claim.decision = event.decision
+        claim.answer = event.answer
+
+    def minted(self, ahead: float = 0.0) -> str:
+        """Return a key that a caller mints now, or some seconds ahead."""
+        rng = random.Random(self.rng.getrandbits(64))
+        return make_idempotency_key(self.now + ahead, rng)
+
+    def claim(
+        self, name: str, text: str, body: bytes = b"body", is_durable: bool = False
+    ) -> Claim:
+        """Have a core claim a key."""
+        key = OnceClaimKey("crew", text, body, is_durable)
+        claim = Claim(name, key)
+        ticket = next(self._tickets)
+        self.claim_by_ticket[ticket] = claim
+        self.report(self.by_name[name], ClaimAsked(key, ticket))
+        return claim
+
+    def settle(self, claim: Claim, how: str = "complete") -> None:
+        """Say how the request of a granted claim ended."""
+        self.report(self.by_name[claim.core], SettlementAsked(claim.key, how))
+
+    def decide(self, name: str, text: str, **options: Any) -> Claim:
+        """Have a core claim a key and wait for the decision."""
+        claim = self.claim(name, text, **options)
+        self.run_for(1.5)
+        return claim
+
+    def owner_of(self, text: str) -> str:
+        """Return the core that owns the record of a key."""
+        ownership = next(iter(self.by_name.values())).composition.ownership
+        slot = slot_of(f"once/crew/{text}", ownership.number_of_slots)
+        return next(iter(actors(self, slot)), "")
+
+    def others(self, *names: str) -> list[str]:
+        """Return the running cores but for some."""
+        return [n for n, core in self.by_name.items() if core.is_up and n not in names]
+
+
+def claiming(seed: int, size: int = 4, **options: Any) -> ClaimingCores:
+    """Return cores whose slots have owners and backups."""
+    cores: ClaimingCores = fleet(seed, size, cls=ClaimingCores, **options)
+    cores.run_for(8.0)
+    return cores
--- /dev/null
+++ b/knapweedlead/requests/tests/test_once_machine.py
@@ -0,0 +1,82 @@
+"""A key is granted to one call at most, under random faults."""
+
+import hypothesis.strategies as st
+from hypothesis import HealthCheck, settings
+from hypothesis.stateful import initialize, invariant, rule
+
+from knapweedlead.ownership import slot_of
+from knapweedlead.ownership.tests.faults import SLOTS, FaultMachine, names
+from knapweedlead.requests import OnceDecision
+from knapweedlead.requests.tests.claiming import ANSWER, ClaimingCores
+
+CLAIMED = OnceDecision.CLAIMED
+UNTIMED_KEYS = [f"ticket-{number}" for number in range(3)]
+
+
+class OnceMachine(FaultMachine):
+    """Claims a few keys again and again at any entry."""
+
+    slot = slot_of("once/crew/ticket-0", SLOTS)
+
+    @initialize(seed=st.integers(0, 2**16), rates=st.permutations([-1, 0, 0, 1]))
+    def start(self, seed, rates):
+        self.start_fleet(ClaimingCores, seed, rates)
+        self.keys = list(UNTIMED_KEYS)
+        self.settled: set[int] = set()
+        self.released: set[int] = set()
+
+    @rule()
+    def mint(self):
+        self.keys.append(self.cores.minted())
+
+    @rule(
+        chosen=st.lists(st.tuples(names, st.integers(0, 2)), min_size=1, max_size=4),
+        is_durable=st.booleans(),
+        pause=st.sampled_from([0.0, 0.3, 1.2]),
+    )
+    def claim(self, chosen, is_durable, pause):
+        for name, index in chosen:
+            key = self.keys[-1 - index]
+            if self.cores.by_name[name].is_up:
+                is_kept_in_store = is_durable and key in UNTIMED_KEYS
+                self.cores.claim(name, key, is_durable=is_kept_in_store)
+        self.run(pause)
+
+    @rule(how=st.sampled_from(["complete", "mark_unknown", "release"]))
+    def settle_all(self, how):
+        for ticket, claim in self.cores.claim_by_ticket.items():
+            core = self.cores.by_name[claim.core]
+            if claim.decision is not CLAIMED or ticket in self.settled:
+                continue
+            self.settled.add(ticket)
+            if core.is_up and not core.is_paused:
+                if how == "release":
+                    self.released.add(ticket)
+                self.cores.settle(claim, how)
+
+    @invariant()
+    def no_key_is_granted_twice(self):
+        granted = [
+            claim.key.idempotency_key
+            for ticket, claim in self.cores.claim_by_ticket.items()
+            if claim.decision is CLAIMED and ticket not in self.released
+        ]
+        assert len(granted) == len(set(granted))
+
+    @invariant()
+    def repeats_get_the_stored_answer_whole(self):
+        answers = [
+            claim.answer
+            for claim in self.cores.claim_by_ticket.values()
+            if claim.decision is OnceDecision.ANSWERED
+        ]
+        assert all(answer == ANSWER for answer in answers)
+
+
+OnceMachine.TestCase.settings = settings(
+    max_examples=60,
+    stateful_step_count=25,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
+TestOnceMachine = OnceMachine.TestCase
