--- a/knapweedlead/calls/tests/test_refusals_true.py
+++ b/knapweedlead/calls/tests/test_refusals_true.py
@@ -7,6 +7,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from knapweedlead.requests import Outcome, RefusalReason, outcomes_of_reason
 from standins.chains import CALLER, WARM_UP, apply, catalogue, route
 from standins.cores import CallerReply, CoreBackendServer, Cores
 
@@ -116,6 +117,8 @@
     for one in sent:
         if one.reply.status and one.reply.status >= 400 and one.reply.body[:1] == b"{":
             document = json.loads(one.reply.body)
+            reason = RefusalReason(document["reason"])
+            assert Outcome(document["outcome"]) in outcomes_of_reason(reason)
             if document["outcome"] == "not_run":
                 assert fronts[one.key] == 0, document
         if not one.is_idempotent:
--- a/knapweedlead/requests/__init__.py
+++ b/knapweedlead/requests/__init__.py
@@ -11,6 +11,7 @@
     Outcome,
     RefusalReason,
     RetryReason,
+    outcomes_of_reason,
     status_of_reason,
 )
 
@@ -23,5 +24,6 @@
     "RefusalReason",
     "RetryReason",
     "StoredAnswer",
+    "outcomes_of_reason",
     "status_of_reason",
 ]
--- a/knapweedlead/requests/_reasons.py
+++ b/knapweedlead/requests/_reasons.py
@@ -83,3 +83,39 @@
 def status_of_reason(reason: RefusalReason) -> int:
     """Return the HTTP status with which a refusal reason is answered."""
     return _STATUS_BY_REASON.get(reason, _STATUS_DEFAULT)
+
+
+_ALWAYS_NOT_RUN = frozenset(
+    {
+        RefusalReason.MALFORMED_REQUEST,
+        RefusalReason.REQUEST_TOO_LARGE,
+        RefusalReason.UNKNOWN_ROUTE,
+        RefusalReason.MISSING_KEY,
+        RefusalReason.INVALID_PARENT,
+        RefusalReason.RATE_EXCEEDED,
+        RefusalReason.RATE_UNAVAILABLE,
+        RefusalReason.MISSING_IDEMPOTENCY_KEY,
+        RefusalReason.IDEMPOTENCY_MISMATCH,
+        RefusalReason.HOP_LIMIT,
+    }
+)
+
+_ALWAYS_UNKNOWN = frozenset(
+    {
+        RefusalReason.IDEMPOTENCY_IN_PROGRESS,
+        RefusalReason.IDEMPOTENCY_UNKNOWN,
+        RefusalReason.IDEMPOTENCY_UNAVAILABLE,
+        RefusalReason.RETRIES_EXHAUSTED,
+        RefusalReason.BACKEND_SERVER_FAILED,
+        RefusalReason.BROKEN_ANSWER,
+    }
+)
+
+
+def outcomes_of_reason(reason: RefusalReason) -> frozenset[Outcome]:
+    """Return the outcomes with which a refusal reason may be answered."""
+    if reason in _ALWAYS_NOT_RUN:
+        return frozenset({Outcome.NOT_RUN})
+    if reason in _ALWAYS_UNKNOWN:
+        return frozenset({Outcome.UNKNOWN})
+    return frozenset(Outcome)
