--- a/knapweedlead/calls/_entry.py
+++ b/knapweedlead/calls/_entry.py
@@ -134,7 +134,7 @@
             return
         ended = self.calls.pop_undecided(event.ticket)
         if ended is not None and event.decision is TokenDecision.GRANTED:
-            yield from self.accounts.give_back(ended.account, now)
+            yield from self.accounts.give_back(ended.account, now, event.ticket)
 
     def _on_tokens(
         self,
--- a/knapweedlead/daemon/_composition.py
+++ b/knapweedlead/daemon/_composition.py
@@ -4,12 +4,13 @@
 
 import attrs
 
-from knapweedlead.accounts import AccountsRole
+from knapweedlead.accounts import AccountsRole, MeterContext
 from knapweedlead.calls import EntryRole, GuardRole
 from knapweedlead.configuration import ConfigurationRole, OperatorRole
 from knapweedlead.membership import MembershipRole
 from knapweedlead.node import Identity, Node, StoreCalls
 from knapweedlead.operators import CatalogueFeedRole
+from knapweedlead.ownership import OwnershipRole
 from knapweedlead.requests import OnceRole
 from knapweedlead.retries import RetryPolicy
 from knapweedlead.routing import Router
@@ -24,6 +25,7 @@
     node: Node
     configuration: ConfigurationRole
     membership: MembershipRole
+    ownership: OwnershipRole
     accounts: AccountsRole
     once: OnceRole
     guard: GuardRole
@@ -64,7 +66,18 @@
         backend_server.connections,
         store_calls,
     )
-    accounts = AccountsRole()
+    ownership = OwnershipRole(
+        identity,
+        membership,
+        store_calls,
+        settings.ownership.times,
+        settings.ownership.slots,
+    )
+    accounts = AccountsRole(
+        configuration,
+        MeterContext(identity, membership, ownership),
+        settings.accounts.meter,
+    )
     once = OnceRole()
     guard = GuardRole(identity, backend_server, settings.admission, configuration, rng)
     routing = settings.routing
@@ -79,6 +92,7 @@
         membership,
         accounts,
         once,
+        ownership,
         guard,
         entry,
         operator,
@@ -89,6 +103,7 @@
         node=Node(roles),
         configuration=configuration,
         membership=membership,
+        ownership=ownership,
         accounts=accounts,
         once=once,
         guard=guard,
--- a/knapweedlead/settings/__init__.py
+++ b/knapweedlead/settings/__init__.py
@@ -6,16 +6,19 @@
     AdmissionSettings,
     BackendServerSettings,
     DaemonSettings,
+    OwnershipSettings,
     RoutingSettings,
     StoreSettings,
     TelemetrySettings,
 )
 
 __all__ = [
+    "AccountsSettings",
     "Address",
     "AdmissionSettings",
     "BackendServerSettings",
     "DaemonSettings",
+    "OwnershipSettings",
     "RoutingSettings",
     "StoreSettings",
     "TelemetrySettings",
