--- a/benchmarks/retries/_measure.py
+++ b/benchmarks/retries/_measure.py
@@ -1,11 +1,13 @@
 """What retries cost and gain, over cores under a hand-driven clock."""
 
 import random
+from functools import partial
 
 import attrs
 
 from knapweedlead.settings import RoutingSettings
 from standins.chains import Chain, service_name
+from standins.cores import CallerReply
 
 NAIVE = RoutingSettings(
     balancer="random",
@@ -105,14 +107,15 @@
         below = service_name(dropped_level)
         names = (f"{above}-{rng.randrange(3)}", f"{below}-{rng.randrange(3)}")
         at = start + number / drops_per_s
-        cores.at(at, lambda pair=names: cores.drop_links(*pair))
-    replies = []
+        cores.at(at, partial(cores.drop_links, *names))
+    replies: list[CallerReply] = []
+
+    def send(number: int) -> None:
+        entry = f"{service_name(0)}-{number % 3}"
+        replies.append(chain.call(number + 1, entry))
+
     for number in range(requests):
-        entry = f"s00-{number % 3}"
-        cores.at(
-            start + number / 100,
-            lambda n=number, e=entry: replies.append(chain.call(n + 1, e)),
-        )
+        cores.at(start + number / 100, partial(send, number))
     cores.run_for(requests / 100 + 6.0)
     attempts = sum(chain.attempts_at(depth - 1, n + 1) for n in range(requests))
     answered = sum(reply.status == 200 for reply in replies)
--- /dev/null
+++ b/benchmarks/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routing by what the entries observe, against blind baselines."""
