--- a/knapweedlead/calls/tests/test_refusals_true.py
+++ b/knapweedlead/calls/tests/test_refusals_true.py
@@ -146,7 +146,7 @@
 
 def test_faults_of_the_sweep_cause_refusals_of_both_outcomes():
     outcomes = Counter()
-    for seed in range(6):
+    for seed in range(12):
         faults = [(0.3 * n, FAULTS[n % 6], n + seed, n + seed + 1) for n in range(9)]
         cores, sent = run(seed, 0.02, faults)
         check(cores, sent)
--- a/knapweedlead/platform/_http_store.py
+++ b/knapweedlead/platform/_http_store.py
@@ -43,6 +43,8 @@
 _READS = (Get, List)
 """Operations sent again where the store had closed the kept connection."""
 _READ_ATTEMPTS = 4
+_IDLE_SECONDS = 2.0
+"""Seconds after which a kept connection is not used again."""
 
 _Answer = Result[StoreResult, StoreError]
 
@@ -75,7 +77,12 @@
 
     async def start(self) -> None:
         """Open the client session."""
-        self._session = ClientSession(base_url=f"http://{self.address}")
+        self._session = ClientSession(
+            base_url=f"http://{self.address}",
+            http2=False,
+            max_connection_retries=0,
+            idle_timeout=_IDLE_SECONDS,
+        )
 
     async def stop(self) -> None:
         """Close the client session."""
--- a/knapweedlead/telemetry/_catalogue.py
+++ b/knapweedlead/telemetry/_catalogue.py
@@ -163,6 +163,12 @@
         "{message}",
         "Requests for tokens that came out of order and were passed over.",
     ),
+    MetricSpec(
+        "knapweedlead.once.untrusted",
+        MetricKind.COUNTER,
+        "{claim}",
+        "Claims refused because the records before a takeover are not known.",
+    ),
     MetricSpec(
         "knapweedlead.operator.refusals",
         MetricKind.COUNTER,
