--- a/standins/tests/test_golden_operator_day.py
+++ b/standins/tests/test_golden_operator_day.py
@@ -3,22 +3,15 @@
 import json
 
 import pytest
-from syrupy.extensions.single_file import SingleFileSnapshotExtension, WriteMode
 
 from standins.fleet import OPERATOR_CREDENTIAL, Fleet
+from standins.tests.golden import TextExtension
 from standins.wire import WireSession
 
 CREDENTIAL = {"authorization": f"Bearer {OPERATOR_CREDENTIAL}"}
 DIGEST = "0" * 63 + "1"
 
 
-class TextExtension(SingleFileSnapshotExtension):
-    """One text file a session."""
-
-    file_extension = "txt"
-    _write_mode = WriteMode.TEXT
-
-
 @pytest.fixture(scope="module")
 def address():
     with Fleet() as fleet:
--- a/standins/wire.py
+++ b/standins/wire.py
@@ -2,6 +2,8 @@
 
 import re
 import socket
+import time
+from collections.abc import Callable
 
 _CONCEALED = re.compile(
     rb"(?im)^(date|server|traceparent|host|change-id): [^\r\n]*",
@@ -10,6 +12,7 @@
 
 READ_TIMEOUT = 20.0
 """Seconds that an answer may take."""
+_POLL_SECONDS = 0.05
 
 
 class WireSession:
@@ -42,14 +45,31 @@
         return int(head.split(b" ", 2)[1]), content
 
     def drop(
-        self, address: str, method: str, path: str, headers: dict[str, str], body: bytes
+        self,
+        address: str,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes,
+        is_due: Callable[[], bool],
     ) -> None:
-        """Send a request and close the connection before its answer."""
+        """Send a request and close the connection before its answer.
+
+        Parameters
+        ----------
+        address, method, path, headers, body
+            As in `exchange`.
+        is_due : callable
+            Whether the connection is to be closed now.
+        """
         request = _request(address, method, path, headers, body)
         self._parts.append(b">>>\n" + _concealed(request) + b"\n")
         host, _, port = address.rpartition(":")
+        deadline = time.monotonic() + READ_TIMEOUT
         with socket.create_connection((host, int(port))) as connection:
             connection.sendall(request)
+            while not is_due() and time.monotonic() < deadline:
+                time.sleep(_POLL_SECONDS)
         self._parts.append(b"(the connection drops)\n\n")
 
     @property
