--- a/knapweedlead/accounts/_escrow.py
+++ b/knapweedlead/accounts/_escrow.py
@@ -76,6 +76,13 @@
             return TokenDecision.PENDING, list(self._ask(holding, now))
         return TokenDecision.PENDING, []
 
+    def held_by_account(self, now: float) -> dict[str, int]:
+        """Return the unspent tokens of each client account."""
+        return {
+            name: holding.held if now < holding.expires_at else 0
+            for name, holding in self._by_account.items()
+        }
+
     def _new_holding(self, name: str) -> Holding:
         slot = slot_of(f"account/{name}", self.ownership.number_of_slots)
         holding = Holding(name, slot)
--- a/knapweedlead/accounts/_meter.py
+++ b/knapweedlead/accounts/_meter.py
@@ -51,6 +51,10 @@
         """
         raise NotImplementedError
 
+    def held_by_account(self, now: float) -> dict[str, int]:
+        """Return the unspent tokens of each client account."""
+        return {}
+
     def give_back(self, account: str, ticket: int, now: float) -> list[Effect]:
         """Return the token of a request that was not run."""
         return []
--- a/knapweedlead/daemon/_readings.py
+++ b/knapweedlead/daemon/_readings.py
@@ -37,6 +37,11 @@
     composition = shell.composition
     revision = composition.configuration.revision
     yield Reading("knapweedlead.configuration.revision", revision)
+    slots = len(composition.ownership.owned_by_slot)
+    yield Reading("knapweedlead.slots.owned", slots)
+    held = composition.accounts.meter.held_by_account(time.monotonic())
+    for account, tokens in held.items():
+        yield Reading("knapweedlead.tokens", tokens, (("client_account", account),))
     members = composition.membership.by_name.values()
     for state, count in Counter(member.state for member in members).items():
         yield Reading("knapweedlead.members", count, (("state", state),))
--- a/knapweedlead/telemetry/_catalogue.py
+++ b/knapweedlead/telemetry/_catalogue.py
@@ -86,6 +86,8 @@
 _STORE_OUTCOME = LabelSpec(
     "outcome", ("ok", "unavailable", "unknown_outcome", "conflict", "compacted")
 )
+_TAKEOVER = LabelSpec("by", tuple(takeover.value for takeover in Takeover))
+_ACCOUNT = LabelSpec("client_account", source="client accounts in force")
 _MESSAGE = LabelSpec("message", source="message classes of the codec")
 _DIRECTION = LabelSpec("direction", ("transmit", "receive"))
 _PURPOSE = LabelSpec("purpose", ("call", "control"))
@@ -222,6 +224,49 @@
         "{message}",
         "Catalogues and changes that did not validate.",
     ),
+    MetricSpec(
+        "knapweedlead.configuration.pushes",
+        MetricKind.COUNTER,
+        "{message}",
+        "Changes of the catalogue pushed to other daemons.",
+    ),
+    MetricSpec(
+        "knapweedlead.configuration.pulls",
+        MetricKind.COUNTER,
+        "{message}",
+        "Catalogues asked of other daemons to repair a gap.",
+    ),
+    MetricSpec(
+        "knapweedlead.configuration.refused",
+        MetricKind.COUNTER,
+        "{catalogue}",
+        "Catalogues that did not validate.",
+    ),
+    MetricSpec(
+        "knapweedlead.membership.syncs",
+        MetricKind.COUNTER,
+        "{message}",
+        "Exchanges of whole member tables that this daemon began.",
+    ),
+    MetricSpec(
+        "knapweedlead.slots.acquired",
+        MetricKind.COUNTER,
+        "{slot}",
+        "Slots taken over.",
+        (_TAKEOVER,),
+    ),
+    MetricSpec(
+        "knapweedlead.slots.write_failures",
+        MetricKind.COUNTER,
+        "{write}",
+        "Writes of slot records that failed or whose outcome is unknown.",
+    ),
+    MetricSpec(
+        "knapweedlead.tokens.outdated_requests",
+        MetricKind.COUNTER,
+        "{message}",
+        "Requests for tokens from an earlier epoch of a slot.",
+    ),
     MetricSpec(
         "knapweedlead.messages.unhandled",
         MetricKind.COUNTER,
@@ -294,6 +339,19 @@
         "1",
         "1 while the backend server takes no new work.",
     ),
+    MetricSpec(
+        "knapweedlead.tokens",
+        MetricKind.GAUGE,
+        "{token}",
+        "Unspent tokens that this daemon holds for a client account.",
+        (_ACCOUNT,),
+    ),
+    MetricSpec(
+        "knapweedlead.slots.owned",
+        MetricKind.GAUGE,
+        "{slot}",
+        "Slots whose owner this daemon is.",
+    ),
     MetricSpec(
         "knapweedlead.configuration.revision",
         MetricKind.GAUGE,
