--- /dev/null
+++ b/benchmarks/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Capacity at the size to design for, from measured slopes."""
