--- a/benchmarks/capacity/_daemons.py
+++ b/benchmarks/capacity/_daemons.py
@@ -19,6 +19,7 @@
 SETTLE_SECONDS = 12.0
 WINDOW_SECONDS = 10.0
 CONNECTIONS = 1000
+FIRST_PORT = 7001
 BATCH = 10
 """Daemons that start side by side."""
 PROBED = 10
@@ -59,12 +60,20 @@
     """Start some daemons side by side and wait until they listen."""
     servers = [fleet.prepare(*place, connections=CONNECTIONS) for place in places]
     for server in servers:
+        server.settings.update(_addresses(server.name))
         fleet.start_daemon(server)
     for server in servers:
         assert server.daemon is not None
         wait_until_listening(server.caller_address, server.daemon)
 
 
+def _addresses(name: str) -> dict[str, str]:
+    """Return addresses outside the ports that the system hands out."""
+    host = f"127.20.0.{1 + int(name.rpartition('-')[2])}"
+    names = ("link_address", "caller_address", "operator_address")
+    return {key: f"{host}:{FIRST_PORT + number}" for number, key in enumerate(names)}
+
+
 def _print_window(fleet: Fleet, servers: int) -> None:
     probed = list(fleet.by_name.values())
     pids = [server.daemon.pid for server in probed if server.daemon is not None]
