--- a/knapweedlead/calls/tests/test_guard.py
+++ b/knapweedlead/calls/tests/test_guard.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 
 from knapweedlead.calls import GuardRole
+from knapweedlead.calls._guard import LEAVE_NOTICE
 from knapweedlead.configuration import ConfigurationChanged, parse_catalogue
 from knapweedlead.messages import CallAnswer, CallCancel, CallRefusal, CallRequest
 from knapweedlead.node import (
@@ -205,6 +206,15 @@
     assert bench.guard.is_idle
 
 
+def test_calls_sent_before_entries_could_know_of_the_drain_are_taken_on():
+    bench = Bench(slots=1)
+    bench.report(ShutdownRequested())
+    assert bench.guard.load_report(bench.now).is_draining
+    _, effects = bench.send(now=LEAVE_NOTICE - 0.01, deadline_ms=10_000)
+    assert refusals_in(effects) == []
+    assert not bench.guard.is_idle
+
+
 def test_data_centre_taken_out_drops_waiting_calls_and_refuses_new_ones():
     bench = Bench(slots=1)
     bench.fill(2)
