--- a/knapweedlead/calls/tests/test_cancellation.py
+++ b/knapweedlead/calls/tests/test_cancellation.py
@@ -100,6 +100,7 @@
         return TokenDecision.PENDING, []
 
     def give_back(self, account, now, ticket=None):
+        assert ticket in self.tickets
         self.given_back += 1
         return []
 
--- a/knapweedlead/platform/_http_store.py
+++ b/knapweedlead/platform/_http_store.py
@@ -13,6 +13,7 @@
 
 from blacksheep import Content, Response
 from blacksheep.client import ClientSession
+from blacksheep.client.connection import ConnectionClosedError
 from blacksheep.client.exceptions import ConnectionTimeout, RequestTimeout
 from result import Err, Ok, Result
 
@@ -40,7 +41,10 @@
 """Seconds that a watch's answer may take beyond its wait."""
 
 _READS = (Get, List)
-"""Operations tried twice, since the store may close a kept connection."""
+"""Operations sent again where the store had closed the kept connection."""
+_READ_ATTEMPTS = 4
+_IDLE_SECONDS = 2.0
+"""Seconds after which a kept connection is not used again."""
 
 _Answer = Result[StoreResult, StoreError]
 
@@ -73,7 +77,12 @@
 
     async def start(self) -> None:
         """Open the client session."""
-        self._session = ClientSession(base_url=f"http://{self.address}")
+        self._session = ClientSession(
+            base_url=f"http://{self.address}",
+            http2=False,
+            max_connection_retries=0,
+            idle_timeout=_IDLE_SECONDS,
+        )
 
     async def stop(self) -> None:
         """Close the client session."""
@@ -89,9 +98,11 @@
             The answer; on failure an error whose fault says whether a write
             may have taken effect.
         """
-        answer = await self._attempt(operation)
-        if isinstance(answer, Err) and isinstance(operation, _READS):
-            return await self._attempt(operation)
+        attempts = _READ_ATTEMPTS if isinstance(operation, _READS) else 1
+        for _ in range(attempts):
+            answer = await self._attempt(operation)
+            if isinstance(answer, Ok) or not _is_stale_connection(answer.err_value):
+                return answer
         return answer
 
     async def _attempt(self, operation: StoreOperation) -> _Answer:
@@ -200,6 +211,10 @@
         return Err(StoreError(step, self.address, detail, StoreFault.CONFLICT))
 
 
+def _is_stale_connection(error: StoreError) -> bool:
+    return error.detail.startswith(ConnectionClosedError.__name__)
+
+
 def _entry_of(document: Any) -> Entry:
     value = base64.b64decode(document["Value"] or "")
     return Entry(document["Key"], value, document["ModifyIndex"])
