--- a/standins/tests/test_rate_over_processes.py
+++ b/standins/tests/test_rate_over_processes.py
@@ -85,8 +85,8 @@
 
 def journal_times(fleet, account):
     address = fleet.by_name["front-1"].backend_server_address
-    _, entries = call(address, "/standin/journal")
-    return sorted(entry["started_at"] for entry in entries)
+    _, document = call(address, "/standin/journal")
+    return sorted(entry["started_at"] for entry in document["entries"])
 
 
 def test_frozen_and_killed_daemons_add_nothing_to_the_rate(fleet):
