--- a/knapweedlead/calls/_attempts.py
+++ b/knapweedlead/calls/_attempts.py
@@ -17,6 +17,8 @@
 from knapweedlead.routing import ObservedServer, Router, Wanted
 
 _MS_PER_S = 1000
+_HELD_RETRY_AFTER_MS = 1000
+"""Milliseconds told to callers refused because no server takes their call."""
 
 
 class Attempts:
@@ -57,7 +59,10 @@
             yield from self.endings.refuse(call, reason, Outcome.NOT_RUN, now)
             return
         catalogue = self.configuration.catalogue
-        assert catalogue is not None
+        if catalogue is None or not self.configuration.is_fresh(now):
+            reason = RefusalReason.CONFIGURATION_STALE
+            yield from self.endings.refuse(call, reason, Outcome.NOT_RUN, now)
+            return
         wanted = Wanted(
             service=call.route.service,
             priority=call.priority,
@@ -66,8 +71,9 @@
         )
         chosen = self.router.choose(wanted, catalogue, now)
         if isinstance(chosen, Err):
-            reason = chosen.err_value
-            yield from self.endings.refuse(call, reason, Outcome.NOT_RUN, now)
+            yield from self.endings.refuse(
+                call, chosen.err_value, Outcome.NOT_RUN, now, _HELD_RETRY_AFTER_MS
+            )
             return
         yield self._send_to(call, chosen.ok_value, now)
 
--- a/knapweedlead/calls/_entry.py
+++ b/knapweedlead/calls/_entry.py
@@ -59,6 +59,9 @@
     ),
 }
 
+REPEAT_WINDOW_MS = 10_000
+"""Milliseconds for which the repeats of a failed request are counted."""
+
 _REASON_BY_TOKEN_DECISION = {
     TokenDecision.REFUSED: RefusalReason.RATE_EXCEEDED,
     TokenDecision.UNAVAILABLE: RefusalReason.RATE_UNAVAILABLE,
@@ -101,7 +104,7 @@
         self.once = once
         self.router = router
         self.calls = PendingCalls()
-        self.repeats = RepeatLedger()
+        self.repeats = RepeatLedger(REPEAT_WINDOW_MS / 1000)
         self.intake = CallIntake(configuration, guard, retries, self.repeats, rng)
         self.endings = CallEndings(self.calls, accounts, once, self.repeats)
         self.attempts = Attempts(
@@ -113,8 +116,7 @@
         """Authenticate a call and ask for its token."""
         taken = self.intake.take(event, now)
         if isinstance(taken, Err):
-            reason = taken.err_value
-            yield from refuse(event, reason, _outcome_untaken(reason))
+            yield from _refuse_untaken(event, taken.err_value)
             return
         call = taken.ok_value
         self.calls.add(call)
@@ -303,11 +305,12 @@
 _DROPPED = Count("knapweedlead.answers.dropped", (("reason", "unexpected"),))
 
 
-def _outcome_untaken(reason: RefusalReason) -> Outcome:
-    """Return the outcome of a request that was not taken in.
+def _refuse_untaken(event: CallReceived, reason: RefusalReason) -> Iterator[Effect]:
+    """Refuse a request that was not taken in.
 
     A repeat too many was not run itself, but the request that it repeats may
     have been.
     """
-    is_repeat = reason is RefusalReason.RETRIES_EXHAUSTED
-    return Outcome.UNKNOWN if is_repeat else Outcome.NOT_RUN
+    if reason is RefusalReason.RETRIES_EXHAUSTED:
+        return refuse(event, reason, Outcome.UNKNOWN, REPEAT_WINDOW_MS)
+    return refuse(event, reason)
--- a/knapweedlead/calls/_intake.py
+++ b/knapweedlead/calls/_intake.py
@@ -3,7 +3,6 @@
 import itertools
 import random
 
-import attrs
 import xxhash
 from result import Err, Ok, Result
 
@@ -26,6 +25,9 @@
 MAX_HOPS = 32
 """Calls above a call at most, against loops."""
 
+RepeatKey = tuple[str, str, bytes]
+"""Client account, idempotency key or trace id, and fingerprint."""
+
 _FIRST_CALL_ID_BITS = 48
 _REQUEST_ID_BITS = 128
 _REQUEST_ID_BYTES = 16
@@ -173,18 +175,10 @@
     return event.headers.get(IDEMPOTENCY_KEY, "").encode() + fingerprint(event)
 
 
-@attrs.frozen
-class RepeatKey:
-    """What names a first call over its caller's repeats."""
-
-    account: str
-    name: str
-    fingerprint: bytes
-
-
 def _repeat_key(event: CallReceived, account: str) -> RepeatKey | None:
+    """Return what names a first call over its caller's repeats."""
     name = event.headers.get(IDEMPOTENCY_KEY) or trace_of(event)
-    return RepeatKey(account, name, fingerprint(event)) if name else None
+    return (account, name, fingerprint(event)) if name else None
 
 
 def _spend_on_repeat(parent: RunningCall, event: CallReceived) -> bool:
--- a/knapweedlead/routing/_server.py
+++ b/knapweedlead/routing/_server.py
@@ -131,7 +131,7 @@
         limit = member.slots if self.report is None else self.report.limit
         age = now - self.first_seen
         if age >= SLOW_START:
-            return float(max(1, limit))
+            return float(limit) if limit > 1 else 1.0
         floor = min(member.cold_slots, limit)
         return max(1.0, floor + (limit - floor) * age / SLOW_START)
 
