Clearance apart from the entry role; decisions count only while awaited

The router searched all servers of a service for each call while one was ejected. Change: tokens and claims in _clearance.py, heeded only in their state; ejected servers by name.

--- a/knapweedlead/calls/_entry.py
+++ b/knapweedlead/calls/_entry.py
@@ -5,17 +5,13 @@
 
 from result import Err
 
-from knapweedlead.accounts import (
-    AccountsRole,
-    TokenDecision,
-    TokensDecided,
-    authenticate,
-)
+from knapweedlead.accounts import AccountsRole, TokensDecided, authenticate
 from knapweedlead.calls._attempts import Attempts
+from knapweedlead.calls._clearance import Clearance
 from knapweedlead.calls._endings import CallEndings, refuse
 from knapweedlead.calls._guard import GuardRole
-from knapweedlead.calls._headers import AUTHORIZATION, IDEMPOTENCY_KEY
-from knapweedlead.calls._intake import CallIntake, fingerprint, is_claim_needed
+from knapweedlead.calls._headers import AUTHORIZATION
+from knapweedlead.calls._intake import CallIntake
 from knapweedlead.calls._pending import UNDER_WAY, PendingCall
 from knapweedlead.calls._pending_calls import PendingCalls
 from knapweedlead.configuration import ConfigurationChanged, ConfigurationRole
@@ -34,39 +30,13 @@
     handles,
     handles_message,
 )
-from knapweedlead.requests import (
-    OnceClaimKey,
-    OnceDecided,
-    OnceDecision,
-    OnceRole,
-    Outcome,
-    RefusalReason,
-    StoredAnswer,
-)
+from knapweedlead.requests import OnceDecided, OnceRole, Outcome, RefusalReason
 from knapweedlead.retries import RepeatLedger, RetryPolicy
 from knapweedlead.routing import Router
 
-_REFUSAL_BY_ONCE_DECISION = {
-    OnceDecision.IN_PROGRESS: (
-        RefusalReason.IDEMPOTENCY_IN_PROGRESS,
-        Outcome.UNKNOWN,
-    ),
-    OnceDecision.UNKNOWN: (RefusalReason.IDEMPOTENCY_UNKNOWN, Outcome.UNKNOWN),
-    OnceDecision.MISMATCH: (RefusalReason.IDEMPOTENCY_MISMATCH, Outcome.NOT_RUN),
-    OnceDecision.UNAVAILABLE: (
-        RefusalReason.IDEMPOTENCY_UNAVAILABLE,
-        Outcome.UNKNOWN,
-    ),
-}
-
 REPEAT_WINDOW_MS = 10_000
 """Milliseconds for which the repeats of a failed request are counted."""
 
-_REASON_BY_TOKEN_DECISION = {
-    TokenDecision.REFUSED: RefusalReason.RATE_EXCEEDED,
-    TokenDecision.UNAVAILABLE: RefusalReason.RATE_UNAVAILABLE,
-}
-
 
 class EntryRole(Role):
     """Authenticates, meters, routes and retries calls.
@@ -100,8 +70,6 @@
         rng: random.Random,
     ) -> None:
         self.configuration = configuration
-        self.accounts = accounts
-        self.once = once
         self.router = router
         self.calls = PendingCalls()
         self.repeats = RepeatLedger(REPEAT_WINDOW_MS / 1000)
@@ -110,6 +78,9 @@
         self.attempts = Attempts(
             configuration, self.calls, self.endings, router, retries
         )
+        self.clearance = Clearance(
+            self.calls, accounts, once, self.endings, self.attempts
+        )
 
     @handles(CallReceived)
     def on_call(self, event: CallReceived, now: float) -> Iterator[Effect]:
@@ -120,91 +91,17 @@
             return
         call = taken.ok_value
         self.calls.add(call)
-        if call.metered is None:
-            yield from self._claim(call, now)
-            return
-        decision, effects = self.accounts.take(call.metered, call.call_id, now)
-        yield from effects
-        yield from self._on_tokens(call, decision, 0, now)
+        yield from self.clearance.ask(call, now)
 
     @handles(TokensDecided)
     def on_tokens_decided(self, event: TokensDecided, now: float) -> Iterator[Effect]:
         """Go on with a call whose token was asked for."""
-        call = self.calls.by_call_id.get(event.ticket)
-        if call is not None:
-            yield from self._on_tokens(call, event.decision, event.retry_after_ms, now)
-            return
-        ended = self.calls.pop_undecided(event.ticket)
-        if ended is not None and event.decision is TokenDecision.GRANTED:
-            yield from self.accounts.give_back(ended.account, now, event.ticket)
-
-    def _on_tokens(
-        self,
-        call: PendingCall,
-        decision: TokenDecision,
-        retry_after_ms: int,
-        now: float,
-    ) -> Iterator[Effect]:
-        if decision is TokenDecision.PENDING:
-            return
-        reason = _REASON_BY_TOKEN_DECISION.get(decision)
-        if reason is None:
-            call.has_token = True
-            yield from self._claim(call, now)
-            return
-        yield from self.endings.refuse(
-            call, reason, Outcome.NOT_RUN, now, retry_after_ms
-        )
-        self.calls.pop_undecided(call.call_id)
-
-    def _claim(self, call: PendingCall, now: float) -> Iterator[Effect]:
-        call.advance("granted")
-        if not is_claim_needed(call.parent, call.route):
-            call.advance("claimed")
-            yield from self.attempts.send(call, now)
-            return
-        key = call.event.headers[IDEMPOTENCY_KEY]
-        claim = OnceClaimKey(
-            call.account, key, fingerprint(call.event), call.route.is_durable
-        )
-        call.asked_claim = claim
-        decision, answer, effects = self.once.claim(claim, call.call_id, now)
-        yield from effects
-        yield from self._on_once(call, decision, answer, now)
+        yield from self.clearance.take_tokens(event, now)
 
     @handles(OnceDecided)
     def on_once_decided(self, event: OnceDecided, now: float) -> Iterator[Effect]:
         """Go on with a call whose once record was asked for."""
-        call = self.calls.by_call_id.get(event.ticket)
-        if call is not None:
-            yield from self._on_once(call, event.decision, event.answer, now)
-            return
-        ended = self.calls.pop_undecided(event.ticket)
-        if ended is None or ended.asked_claim is None:
-            return
-        if event.decision is OnceDecision.CLAIMED:
-            yield from self.once.release(ended.asked_claim, now)
-
-    def _on_once(
-        self,
-        call: PendingCall,
-        decision: OnceDecision,
-        answer: StoredAnswer | None,
-        now: float,
-    ) -> Iterator[Effect]:
-        if decision is OnceDecision.PENDING:
-            return
-        if decision is OnceDecision.CLAIMED:
-            call.claim = call.asked_claim
-            call.advance("claimed")
-            yield from self.attempts.send(call, now)
-            return
-        if decision is OnceDecision.ANSWERED and answer is not None:
-            yield from self.endings.answer_again(call, answer, now)
-        else:
-            reason, outcome = _REFUSAL_BY_ONCE_DECISION[decision]
-            yield from self.endings.refuse(call, reason, outcome, now)
-        self.calls.pop_undecided(call.call_id)
+        yield from self.clearance.take_claim(event, now)
 
     @handles_message(CallAnswer)
     def on_answer(self, peer: str, answer: CallAnswer, now: float) -> Iterator[Effect]:
--- a/knapweedlead/calls/tests/test_cancellation.py
+++ b/knapweedlead/calls/tests/test_cancellation.py
@@ -108,7 +108,7 @@
 def with_pending_accounts(cores, name):
     entry = cores.by_name[name].composition.entry
     accounts = PendingAccounts()
-    entry.accounts = entry.endings.accounts = accounts
+    entry.clearance.accounts = entry.endings.accounts = accounts
     return accounts
 
 
--- a/knapweedlead/calls/tests/test_whole_answers.py
+++ b/knapweedlead/calls/tests/test_whole_answers.py
@@ -7,7 +7,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from knapweedlead.messages import CallAnswer
+from knapweedlead.messages import CallAnswer, CallRefusal
 from knapweedlead.node import Count
 from standins.chains import CALLER, WARM_UP, apply, catalogue, route
 from standins.cores import CoreBackendServer, Cores
@@ -115,3 +115,21 @@
         assert reply.status is not None
         if reply.status == 200:
             assert reply.body == path.encode()
+
+
+def test_refusal_in_words_unknown_here_counts_as_unknown_and_brings_no_more_credits():
+    cores = build(retry_credits=1)
+    cores.by_name["wear-0"].backend_server.status = 0
+    cores.by_name["wear-1"].backend_server.status = 0
+
+    def change(message):
+        if isinstance(message, CallRefusal):
+            return [attrs.evolve(message, reason="from the future", unused_credits=99)]
+        return [message]
+
+    cores.alter = change
+    reply = cores.call("edge", "/wear/x", CALLER)
+    cores.run_for(3.0)
+    journals = [cores.by_name[f"wear-{n}"].backend_server.journal for n in range(2)]
+    assert json.loads(reply.body)["outcome"] == "unknown"
+    assert sum(map(len, journals)) <= 2
--- a/knapweedlead/routing/_router.py
+++ b/knapweedlead/routing/_router.py
@@ -169,16 +169,16 @@
             return
         self.ejector.note_result(server, is_failure, view.servers, now)
         if server.state == HEALTHY:
-            view.unhealthy.discard(server)
+            view.unhealthy.pop(server.member.name, None)
         else:
-            view.unhealthy.add(server)
+            view.unhealthy[server.member.name] = server
 
     def _due_probe(
         self, view: ServiceView, wanted: Wanted, now: float
     ) -> ObservedServer | None:
         if not view.unhealthy or wanted.tried:
             return None
-        unhealthy = [server for server in view.servers if server in view.unhealthy]
+        unhealthy = list(view.unhealthy.values())
         return self.ejector.due_probe(unhealthy, wanted.may_repeat, now)
 
     def _pick(
@@ -205,7 +205,7 @@
         self, view: ServiceView, wanted: Wanted, now: float
     ) -> ObservedServer | None:
         """Return an ejected server where no other takes the call."""
-        unhealthy = [server for server in view.servers if server in view.unhealthy]
+        unhealthy = view.unhealthy.values()
         open_ones = [s for s in unhealthy if s.is_open(wanted.priority, now)]
         return self.rng.choice(open_ones) if open_ones else None
 
--- a/knapweedlead/routing/_view.py
+++ b/knapweedlead/routing/_view.py
@@ -5,7 +5,7 @@
 from knapweedlead.configuration import Catalogue
 from knapweedlead.membership import Member
 from knapweedlead.node import Identity
-from knapweedlead.routing._server import ObservedServer
+from knapweedlead.routing._server import HEALTHY, ObservedServer
 
 ALIVE = "alive"
 
@@ -22,14 +22,14 @@
         The same, nearest first; suspect members come last.
     is_any_out : bool
         Whether servers were left out because operators took them out.
-    unhealthy : set of ObservedServer
-        Those that are ejected or on probation.
+    unhealthy : dict of str to ObservedServer
+        Those that are ejected or on probation, by name.
     """
 
     servers: list[ObservedServer]
     pools: list[list[ObservedServer]]
     is_any_out: bool
-    unhealthy: set[ObservedServer]
+    unhealthy: dict[str, ObservedServer]
 
 
 def distance(identity: Identity, member: Member) -> int:
@@ -77,7 +77,7 @@
         servers=servers,
         pools=[pool for pool in pools if pool],
         is_any_out=len(in_service) < len(members),
-        unhealthy={server for server in servers if server.state != "healthy"},
+        unhealthy={s.member.name: s for s in servers if s.state != HEALTHY},
     )
 
 
