Leaving daemons let callers use up their kept connections; callers of the load tool turn to another target

Cause: idle kept connections were closed 2.5 s after the shutdown request, and a busy caller pops just those next; under load (24 on 10 cores) one order met the close. The load tool's retries could draw the stopping daemon five times. Ruled out: a reply lost in the daemon (its open exchanges were waited for). Change: no new connections after the notice, five more seconds in which each connection is closed with its next reply; retries turn to another target; the stand-in logs answers that fail.

--- a/knapweedlead/daemon/_lifecycle.py
+++ b/knapweedlead/daemon/_lifecycle.py
@@ -1,6 +1,7 @@
 """Life cycle of the daemon process: start, serve, leave, drain, stop."""
 
 import asyncio
+from collections.abc import Callable
 
 from knapweedlead.daemon._shell import Shell
 from knapweedlead.operators import OperatorApi
@@ -9,6 +10,11 @@
 
 LEAVE_SECONDS = 2.5
 """Seconds in which peers learn that the daemon leaves, while it still serves."""
+LINGER_SECONDS = 5.0
+"""Seconds in which connected callers may use up their kept connections.
+
+Each is closed with the reply to its next request, so that no request meets the
+close; only connections that stay unused are closed without a reply."""
 DRAIN_SECONDS = 30.0
 """Seconds that calls in flight may take to end."""
 POLL_SECONDS = 0.02
@@ -45,20 +51,21 @@
         self.shell.request_shutdown()
         await asyncio.sleep(LEAVE_SECONDS)
         self._advance("left")
+        self.shell.stop_listening()
+        await self._wait_while(lambda: self.shell.has_callers, LINGER_SECONDS)
         await self.shell.close_to_callers()
-        self._advance("idle" if await self._drain() else "timeout")
+        is_busy = await self._wait_while(lambda: not self.shell.is_idle, DRAIN_SECONDS)
+        self._advance("timeout" if is_busy else "idle")
         await self.api.stop()
         await self.shell.stop()
 
-    async def _drain(self) -> bool:
-        """Wait until nothing is in flight; return whether that was reached."""
-        try:
-            async with asyncio.timeout(DRAIN_SECONDS):
-                while not self.shell.is_idle:
-                    await asyncio.sleep(POLL_SECONDS)
-        except TimeoutError:
-            return False
-        return True
+    async def _wait_while(self, holds: Callable[[], bool], limit: float) -> bool:
+        """Wait for a condition to end; return whether it still holds."""
+        for _ in range(int(limit / POLL_SECONDS)):
+            if not holds():
+                return False
+            await asyncio.sleep(POLL_SECONDS)
+        return holds()
 
     def _advance(self, event: str) -> None:
         self.state = _CHART.advance(self.state, event)
--- a/knapweedlead/daemon/_shell.py
+++ b/knapweedlead/daemon/_shell.py
@@ -125,8 +125,17 @@
             task.cancel()
         self.log.info("stopped")
 
+    def stop_listening(self) -> None:
+        """Accept no new callers; those connected are still answered."""
+        self.callers.stop_listening()
+
+    @property
+    def has_callers(self) -> bool:
+        """Whether callers are connected."""
+        return self.callers.open_connections > 0
+
     async def close_to_callers(self) -> None:
-        """Accept no new callers and close their connections once idle."""
+        """Close the callers' connections once idle."""
         await self.callers.stop()
 
     @property
--- a/knapweedlead/load/_generator.py
+++ b/knapweedlead/load/_generator.py
@@ -106,10 +106,12 @@
         self, stream: StreamPlan, record: CallRecord, rng: random.Random
     ) -> None:
         headers = self._headers(stream, rng)
+        client: BackendServerClient | None = None
         try:
             for attempt in range(stream.retries + 1):
                 record.retries = attempt
-                answer = await self._attempt(stream, headers)
+                client = self._next_target(client)
+                answer = await self._attempt(client, stream, headers)
                 self._take_down(record, answer)
                 if record.outcome == OUTCOME_ANSWERED:
                     return
@@ -129,11 +131,18 @@
             headers[IDEMPOTENCY_KEY] = make_idempotency_key(time.time(), rng)
         return headers
 
-    async def _attempt(self, stream: StreamPlan, headers: dict[str, str]) -> _Answer:
+    def _next_target(self, failed: BackendServerClient | None) -> BackendServerClient:
+        """Return a random target, another one than that which has just failed."""
+        others = [client for client in self._clients if client is not failed]
+        return self._rng.choice(others or self._clients)
+
+    async def _attempt(
+        self, client: BackendServerClient, stream: StreamPlan, headers: dict[str, str]
+    ) -> _Answer:
         run = next(self._runs)
         waiting = asyncio.get_running_loop().create_future()
         self._waiting_by_run[run] = waiting
-        self._rng.choice(self._clients).run(
+        client.run(
             run,
             stream.method,
             stream.path,
--- a/knapweedlead/transport/_http_server.py
+++ b/knapweedlead/transport/_http_server.py
@@ -106,10 +106,14 @@
         """Connections of callers."""
         return len(self._protocols)
 
-    async def stop(self) -> None:
-        """Close the listener and the idle connections."""
+    def stop_listening(self) -> None:
+        """Accept no new callers; open connections go on."""
         if self._server is not None:
             self._server.close()
+
+    async def stop(self) -> None:
+        """Close the listener and the idle connections."""
+        self.stop_listening()
         if self._sweeper is not None:
             self._sweeper.cancel()
         for protocol in list(self._protocols):
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -17,8 +17,11 @@
 import uvloop
 
 from knapweedlead.calls import DEADLINE, IDEMPOTENCY_KEY, PARENT
+from knapweedlead.telemetry import configure_logs, get_logger
 from knapweedlead.transport import BackendServerClient, CallerServer, HttpRequest
 
+_OK = 200
+
 MAX_CHILD_CONNECTIONS = 1000
 
 CONTROL_PREFIX = "/standin/"
@@ -84,6 +87,7 @@
         self, name: str, daemon_address: str, behaviour: Behaviour, rng: random.Random
     ) -> None:
         self.name = name
+        self.log = get_logger(backend_server=name)
         self.behaviour = behaviour
         self.rng = rng
         self.journal: list[JournalEntry] = []
@@ -148,6 +152,9 @@
         finally:
             entry.ended_at = time.monotonic() - self._started_at
         entry.status = status
+        if status != _OK:
+            detail = json.dumps(document)
+            self.log.warning("failed", path=request.path, status=status, detail=detail)
         body = json.dumps(document).encode()
         headers = {"content-type": "application/json"}
         self.server.reply(request.exchange, status, headers, body)
@@ -234,6 +241,7 @@
     seed : int
         Seed of service times and failures.
     """
+    configure_logs("warning")
     fields = json.loads(behaviour) if isinstance(behaviour, str) else behaviour
 
     async def run() -> None:
--- a/standins/tests/test_rolling_replacement.py
+++ b/standins/tests/test_rolling_replacement.py
@@ -30,7 +30,7 @@
 
     return LoadPlan(
         targets=("127.0.0.1:1",),
-        duration_s=28.0,
+        duration_s=40.0,
         streams=(
             stream("browse", "/browse/list", 20.0),
             stream(
