--- a/knapweedlead/admission/_adaptive.py
+++ b/knapweedlead/admission/_adaptive.py
@@ -26,7 +26,7 @@
 TOLERATED_FAILURES = 0.1
 """Share of failures above which the limit falls."""
 
-LARGEST_DECREASE = 0.5
+LARGEST_DECREASE = 0.7
 """Least factor by which one window lowers the limit."""
 
 USUAL_DECREASE = 0.9
@@ -41,7 +41,7 @@
 USED_SHARE = 0.8
 """Share of the limit that must have been used before it rises."""
 
-TRIAL_DECREASE = 0.6
+TRIAL_DECREASE = 0.75
 """Factor of the limit after which a decrease must have shown an effect."""
 
 TRIAL_EFFECT = 0.9
