--- a/knapweedlead/admission/tests/test_every_policy.py
+++ b/knapweedlead/admission/tests/test_every_policy.py
@@ -19,6 +19,7 @@
 )
 from knapweedlead.errors import ParameterError
 from knapweedlead.parameters import check_parameters
+from knapweedlead.settings import AdmissionSettings
 
 PARAMETERS = {"slots": 40, "cold_slots": 4, "cold_start_s": 5.0}
 
@@ -134,6 +135,17 @@
     assert sizes[-1] <= 1.5 * sizes[1] + 1000
 
 
+@pytest.mark.parametrize(
+    ("field", "registry"),
+    [("limiter", LIMITERS), ("queue", QUEUES), ("cold_start", COLD_STARTS)],
+)
+def test_settings_accept_each_registered_policy_and_no_other(field, registry):
+    for name in registry.by_name:
+        check_parameters(AdmissionSettings(**{field: name}))
+    with pytest.raises(ParameterError, match=field):
+        check_parameters(AdmissionSettings(**{field: "unheard_of"}))
+
+
 def test_package_exports_what_it_names():
     for name in knapweedlead.admission.__all__:
         assert hasattr(knapweedlead.admission, name)
--- a/knapweedlead/settings/_schema.py
+++ b/knapweedlead/settings/_schema.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from knapweedlead.admission import COLD_STARTS, LIMITERS, QUEUES
 from knapweedlead.ownership import OwnershipTimes
 from knapweedlead.parameters import Choice, Constraint, InstanceOf, Interval
 
@@ -129,9 +130,9 @@
     cold_start: str = "ramp"
 
     parameter_constraints: ClassVar[dict[str, Constraint]] = {
-        "limiter": InstanceOf(str),
-        "queue": InstanceOf(str),
-        "cold_start": InstanceOf(str),
+        "limiter": Choice(tuple(sorted(LIMITERS.by_name))),
+        "queue": Choice(tuple(sorted(QUEUES.by_name))),
+        "cold_start": Choice(tuple(sorted(COLD_STARTS.by_name))),
     }
 
 
