Failed try: withdraw a suspected turn to cold that the cold limit does not mend

Try: after an unannounced turn to cold, judge the first calls at the cold limit; if they are as slow and none fails, ramp up and count slowness from there. A bound holds the recovery when slow servers are taken for cold.

--- a/benchmarks/overload/stories.py
+++ b/benchmarks/overload/stories.py
@@ -276,17 +276,22 @@
 
 
 @functools.cache
-def metastability(name: str, variant: str) -> RecoveryFigures:
+def metastability(
+    name: str,
+    variant: str,
+    cold_start_s: float = 0.0,
+    slowness: float = TRIGGER_FACTOR,
+) -> RecoveryFigures:
     """Slow the deep service and triple demand for a while, with hard retries."""
     model = SMALL_MODEL_BY_NAME[name]
     parent, deep = CHAIN_BY_MODEL[name]
-    scenario = build(model, variant, Client(PATIENCE_SECONDS, HARD_TRIES))
+    scenario = build(model, variant, Client(PATIENCE_SECONDS, HARD_TRIES), cold_start_s)
     capacity = true_capacity(model, deep)
     usual = {deep: 0.5 * capacity, parent: 0.2 * capacity}
     surge_rates = {service: TRIGGER_FACTOR * usual[service] for service in usual}
-    scenario.drive(usual, 5.0)
+    scenario.drive(usual, 5.0 + 2.0 * cold_start_s)
     begin = scenario.cores.now
-    _set_slowness(scenario, deep, TRIGGER_FACTOR)
+    _set_slowness(scenario, deep, slowness)
     scenario.drive(surge_rates, TRIGGER_SECONDS)
     end = scenario.cores.now
     _set_slowness(scenario, deep, 1.0)
