--- a/knapweedlead/platform/tests/test_lost_connections.py
+++ b/knapweedlead/platform/tests/test_lost_connections.py
@@ -34,9 +34,7 @@
     server = await asyncio.start_server(closing.serve, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()
     store = HttpStore(f"{host}:{port}", TIMEOUT)
-    await store.start()
     result = await store.call(operation)
-    await store.stop()
     server.close()
     return result, closing.requests
 
