Rates: prompt reports, owners learnt from peers, benchmark against baselines

Cause: tokens spent but not reported for 0.5 s left no room in the owner's bucket, which earned nothing meanwhile; an entry that had not seen the owner when the store went away could not learn it. Change: an entry reports 5 % of the burst at once, 0.02 s apart; an unanswered request goes to the backup and then to members, who answer with what they know.

--- /dev/null
+++ b/benchmarks/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Store calls and messages of the slots."""
--- /dev/null
+++ b/benchmarks/rates/__init__.py
@@ -0,0 +1,1 @@
+"""Wrongful refusals and messages of the metering policies."""
--- /dev/null
+++ b/benchmarks/rates/_measure.py
@@ -0,0 +1,193 @@
+"""Scenarios of one client account over cores under a hand-driven clock."""
+
+import functools
+import random
+from collections import Counter
+from collections.abc import Callable
+
+import attrs
+
+from knapweedlead.accounts import TokenDecision
+from knapweedlead.accounts.tests.metered import MeteredCores, most_over_rate
+from knapweedlead.messages import encode_message
+from knapweedlead.node import Effect, SendMessage
+from knapweedlead.ownership import slot_of
+from knapweedlead.ownership.tests.fleets import actors, fleet
+from knapweedlead.settings import AccountsSettings
+from standins.cores import Core
+
+ENTRIES = 6
+DATA_CENTRES = 3
+SETTLE_S = 6.0
+TOKEN_MESSAGES = ("TokenRequest", "TokenGrant", "TokenRecall")
+
+
+class CountingCores(MeteredCores):
+    """Cores that count the messages and bytes of tokens by sender."""
+
+    def __init__(self, seed: int = 0) -> None:
+        super().__init__(seed)
+        self.messages_by_core: Counter[str] = Counter()
+        self.bytes_by_core: Counter[str] = Counter()
+
+    def _execute(self, core: Core, effect: Effect) -> None:
+        if isinstance(effect, SendMessage):
+            self._count(core, effect)
+        super()._execute(core, effect)
+
+    def _count(self, core: Core, effect: SendMessage) -> None:
+        if type(effect.message).__name__ in TOKEN_MESSAGES:
+            self.messages_by_core[core.name] += 1
+            self.bytes_by_core[core.name] += len(encode_message(effect.message))
+
+
+@attrs.frozen
+class Scenario:
+    """Traffic of an account and what befalls the fleet.
+
+    Parameters
+    ----------
+    rate_per_s, burst : float
+        Terms of the account.
+    load : float
+        Offered calls as a share of the rate.
+    seconds : float
+        Length of the traffic.
+    entries_at : callable
+        Numbers of the entries that take calls, by seconds since the start.
+    owner_lost_at, store_lost_at : float or None
+        Seconds after which the slot's owner crashes, or the store is gone.
+    """
+
+    rate_per_s: float
+    burst: float
+    load: float
+    seconds: float
+    entries_at: Callable[[float], list[int]]
+    owner_lost_at: float | None = None
+    store_lost_at: float | None = None
+
+
+@attrs.frozen
+class Figures:
+    """What a scenario gave.
+
+    Parameters
+    ----------
+    offered, granted : int
+        Calls offered and tokens granted.
+    wrongful_share : float
+        Calls refused beyond those that one bucket for the whole fleet would have
+        refused, as a share of the calls offered.
+    over_rate : float
+        Largest excess over burst + rate x window, in calls; 0 for none.
+    messages_per_s, bytes_per_s : float
+        Of tokens, sent by the busiest daemon.
+    """
+
+    offered: int
+    granted: int
+    wrongful_share: float
+    over_rate: float
+    messages_per_s: float
+    bytes_per_s: float
+
+
+def _everywhere(seconds: float) -> list[int]:
+    return list(range(ENTRIES))
+
+
+def _one(seconds: float) -> list[int]:
+    return [0]
+
+
+def _moving(seconds: float) -> list[int]:
+    centre = int(seconds // 5.0) % DATA_CENTRES
+    return [entry for entry in range(ENTRIES) if entry % DATA_CENTRES == centre]
+
+
+SCENARIOS = {
+    "one hot entry": Scenario(50.0, 20.0, 0.9, 60.0, _one),
+    "moving between data centres": Scenario(50.0, 20.0, 0.9, 60.0, _moving),
+    "small rate": Scenario(2.0, 4.0, 0.9, 300.0, _everywhere),
+    "large rate": Scenario(1000.0, 300.0, 0.9, 20.0, _everywhere),
+    "five times the rate": Scenario(50.0, 20.0, 5.0, 60.0, _everywhere),
+    "owner lost": Scenario(50.0, 20.0, 0.9, 60.0, _everywhere, owner_lost_at=20.0),
+    "store gone for 10 minutes": Scenario(
+        2.0, 4.0, 0.9, 600.0, _everywhere, store_lost_at=0.0
+    ),
+}
+
+
+def measure(name: str, meter: str, seed: int = 1) -> Figures:
+    """Run a scenario with a metering policy."""
+    scenario = SCENARIOS[name]
+    cores: CountingCores = fleet(
+        seed,
+        ENTRIES,
+        slots=4,
+        times=None,
+        cls=CountingCores,
+        accounts=AccountsSettings(meter),
+    )
+    cores.set_account(scenario.rate_per_s, scenario.burst)
+    cores.run_for(SETTLE_S)
+    cores.messages_by_core.clear()
+    cores.bytes_by_core.clear()
+    _schedule(cores, scenario, random.Random(seed))
+    cores.run_for(scenario.seconds + 2.0)
+    return _figures(cores, scenario)
+
+
+def _schedule(cores: CountingCores, scenario: Scenario, rng: random.Random) -> None:
+    start = cores.now
+    offered_per_s = scenario.rate_per_s * scenario.load
+    at = rng.expovariate(offered_per_s)
+    while at < scenario.seconds:
+        entry = rng.choice(scenario.entries_at(at))
+        cores.at(start + at, functools.partial(_take, cores, f"d{entry}"))
+        at += rng.expovariate(offered_per_s)
+    if scenario.owner_lost_at is not None:
+        cores.at(start + scenario.owner_lost_at, functools.partial(_lose_owner, cores))
+    if scenario.store_lost_at is not None:
+        mode = functools.partial(setattr, cores.store, "mode", "down")
+        cores.at(start + scenario.store_lost_at, mode)
+
+
+def _take(cores: CountingCores, name: str) -> None:
+    up = [core.name for core in cores.by_name.values() if core.is_up]
+    cores.take(name if name in up else up[0])
+
+
+def _lose_owner(cores: CountingCores) -> None:
+    slot = slot_of("account/crew", 4)
+    for name in actors(cores, slot):
+        cores.crash(name)
+
+
+def _figures(cores: CountingCores, scenario: Scenario) -> Figures:
+    takes = sorted(cores.take_by_ticket.values(), key=lambda take: take.asked_at)
+    granted = [t for t in takes if t.decision is TokenDecision.GRANTED]
+    over = most_over_rate(cores.granted_at(), scenario.rate_per_s) - scenario.burst
+    seconds = scenario.seconds
+    return Figures(
+        offered=len(takes),
+        granted=len(granted),
+        wrongful_share=_wrongful(cores, scenario) / len(takes),
+        over_rate=max(0.0, round(over, 6)),
+        messages_per_s=max(cores.messages_by_core.values(), default=0) / seconds,
+        bytes_per_s=max(cores.bytes_by_core.values(), default=0) / seconds,
+    )
+
+
+def _wrongful(cores: CountingCores, scenario: Scenario) -> int:
+    """Count the calls that one bucket for the whole fleet would have let in."""
+    asked = sorted(take.asked_at for take in cores.take_by_ticket.values())
+    level, last, admitted = scenario.burst, asked[0], 0
+    for at in asked:
+        earned = (at - last) * scenario.rate_per_s
+        level, last = min(scenario.burst, level + earned), at
+        if level >= 1.0:
+            level -= 1.0
+            admitted += 1
+    return max(0, admitted - cores.count(TokenDecision.GRANTED))
--- a/knapweedlead/accounts/_escrow.py
+++ b/knapweedlead/accounts/_escrow.py
@@ -20,6 +20,16 @@
 REPORT_SECONDS = 0.5
 """Seconds after which spent tokens are reported at the latest."""
 
+REPORT_SHARE = 0.05
+"""Spent tokens that an entry reports at once, as a share of the burst.
+
+Until then they leave no room in the owner's bucket, which earns nothing where it
+would overflow.
+"""
+
+REPORT_PAUSE = 0.02
+"""Seconds between two requests of an entry that holds tokens."""
+
 IDLE_SECONDS = 1.0
 """Seconds without a call after which an entry returns its tokens."""
 
@@ -62,9 +72,10 @@
             holding = self._new_holding(account.name)
         holding.taken += 1
         holding.used_at = now
+        holding.burst = account.burst
         if holding.held > 0 and now < holding.expires_at and not holding.waiting:
             holding.spend(ticket)
-            if holding.held < holding.target() // 2 and self._may_ask(holding, now):
+            if self._is_report_due(holding, now):
                 return TokenDecision.GRANTED, list(self._ask(holding, now))
             return TokenDecision.GRANTED, []
         if now < holding.refused_until:
@@ -93,6 +104,13 @@
         holding.held += 1
         return []
 
+    def _is_report_due(self, holding: Holding, now: float) -> bool:
+        if not self._may_ask(holding, now) or now < holding.asked_at + REPORT_PAUSE:
+            return False
+        unreported = len(holding.unreported_tickets)
+        is_low = holding.held < holding.target() // 2
+        return is_low or unreported >= holding.burst * REPORT_SHARE
+
     def _may_ask(self, holding: Holding, now: float) -> bool:
         return not holding.is_asking and now >= holding.next_ask
 
@@ -138,6 +156,8 @@
             yield WakeAt(holding.next_ask)
             return
         if not holding.waiting:
+            if holding.unreported_tickets:
+                yield WakeAt(holding.asked_at + REPORT_PAUSE)
             return
         if grant.granted:
             yield from self._ask(holding, now)
@@ -200,8 +220,9 @@
                 yield from self._ask(holding, now)
             elif holding.held and now >= holding.used_at + IDLE_SECONDS:
                 yield from self._ask(holding, now, returned=holding.held)
-            elif (
-                holding.unreported_tickets and now >= holding.asked_at + REPORT_SECONDS
+            elif holding.unreported_tickets and (
+                now >= holding.asked_at + REPORT_SECONDS
+                or self._is_report_due(holding, now)
             ):
                 yield from self._ask(holding, now)
 
--- a/knapweedlead/accounts/_holding.py
+++ b/knapweedlead/accounts/_holding.py
@@ -55,6 +55,7 @@
     reported: int = 0
     next_ask: float = 0.0
     used_at: float = 0.0
+    burst: float = 0.0
     refused_until: float = 0.0
     taken: int = 0
     demand_per_s: float = 0.0
--- a/knapweedlead/ownership/_candidates.py
+++ b/knapweedlead/ownership/_candidates.py
@@ -73,6 +73,11 @@
             if member.name != self.identity.name and member.state == USABLE_STATE
         ]
 
+    def address_at(self, slot: int, place: int) -> str:
+        """Return the link address of the member at a place for a slot."""
+        others = sorted(self._others(), key=lambda m: rank_key(slot, m.name))
+        return others[place % len(others)].link_address if others else ""
+
     def backup_for(self, slot: int, now: float) -> Member | None:
         """Return the member that should guard an owned slot."""
         usable = [
--- a/knapweedlead/ownership/_role.py
+++ b/knapweedlead/ownership/_role.py
@@ -65,6 +65,9 @@
 RETRY_SECONDS = 0.5
 """Seconds between two readings of one slot."""
 
+PEERS_ASKED = 2
+"""Members that are asked about a slot after its owner and its backup."""
+
 REFRESH_SECONDS_PER_MEMBER = 0.02
 """Seconds added by each member between two readings that entries ask for."""
 
@@ -125,12 +128,17 @@
     def peer_of(self, slot: int, attempt: int = 0) -> str:
         """Return the link address to ask about a slot; empty where none is known.
 
-        Odd attempts go to the backup, which takes over from a lost owner.
+        The owner first, then its backup, which takes over from a lost owner, then
+        the members one after another, who answer with what they know.
         """
         record = self.directory.record_by_slot[slot]
-        if attempt % 2 and record.backup_address:
-            return record.backup_address
-        return record.link_address
+        known = [a for a in (record.link_address, record.backup_address) if a]
+        turn = attempt % (len(known) + PEERS_ASKED)
+        if turn < len(known):
+            return known[turn]
+        round_number = attempt // (len(known) + PEERS_ASKED)
+        place = round_number * PEERS_ASKED + turn - len(known)
+        return self.candidates.address_at(slot, place)
 
     def hint_to(self, peer: str, slot: int) -> Effect:
         """Return the effect that tells a peer what is known about a slot."""
