--- a/knapweedlead/platform/_http_store.py
+++ b/knapweedlead/platform/_http_store.py
@@ -41,16 +41,17 @@
 """Seconds that a watch's answer may take beyond its wait."""
 
 _READS = (Get, List)
-"""Operations sent again where the store had closed the kept connection."""
+"""Operations sent again where the connection was lost."""
 _READ_ATTEMPTS = 4
-_IDLE_SECONDS = 2.0
-"""Seconds after which a kept connection is not used again."""
 
 _Answer = Result[StoreResult, StoreError]
 
 
 class HttpStore:
-    """Calls the store over HTTP.
+    """Calls the store over HTTP, each time on a connection of its own.
+
+    Calls are rare, and a kept connection that the store has closed meanwhile
+    would leave the outcome of a write unknown.
 
     Parameters
     ----------
@@ -63,7 +64,6 @@
     def __init__(self, address: str, timeout: float) -> None:
         self.address = address
         self.timeout = timeout
-        self._session: ClientSession | None = None
         self._method_by_operation: dict[type, Callable[[Any], Awaitable[_Answer]]] = {
             Get: self._get,
             List: self._list,
@@ -75,20 +75,6 @@
             RevokeLease: self._revoke_lease,
         }
 
-    async def start(self) -> None:
-        """Open the client session."""
-        self._session = ClientSession(
-            base_url=f"http://{self.address}",
-            http2=False,
-            max_connection_retries=0,
-            idle_timeout=_IDLE_SECONDS,
-        )
-
-    async def stop(self) -> None:
-        """Close the client session."""
-        if self._session is not None:
-            await self._session.close()
-
     async def call(self, operation: StoreOperation) -> _Answer:
         """Carry out one operation.
 
@@ -101,8 +87,8 @@
         attempts = _READ_ATTEMPTS if isinstance(operation, _READS) else 1
         for _ in range(attempts):
             answer = await self._attempt(operation)
-            if isinstance(answer, Ok) or not _is_stale_connection(answer.err_value):
-                return answer
+            if isinstance(answer, Ok) or not _is_connection_lost(answer.err_value):
+                break
         return answer
 
     async def _attempt(self, operation: StoreOperation) -> _Answer:
@@ -124,15 +110,17 @@
     async def _send(
         self, method: str, path: str, body: bytes | None, timeout: float
     ) -> Response:
-        assert self._session is not None
         content = None if body is None else Content(b"application/octet-stream", body)
-        request = {
-            "GET": self._session.get,
-            "PUT": lambda url: self._session.put(url, content),  # type: ignore[union-attr]
-            "DELETE": self._session.delete,
-        }[method]
-        async with asyncio.timeout(timeout):
-            response = await request(path)
+        session = ClientSession(
+            f"http://{self.address}", http2=False, max_connection_retries=0
+        )
+        async with asyncio.timeout(timeout), session:
+            send = {
+                "GET": session.get,
+                "PUT": lambda url: session.put(url, content),
+                "DELETE": session.delete,
+            }[method]
+            response = await send(path)
             await response.read()
             return response
 
@@ -211,10 +199,10 @@
         return Err(StoreError(step, self.address, detail, StoreFault.CONFLICT))
 
 
-def _is_stale_connection(error: StoreError) -> bool:
-    return error.detail.startswith(ConnectionClosedError.__name__)
-
-
 def _entry_of(document: Any) -> Entry:
     value = base64.b64decode(document["Value"] or "")
     return Entry(document["Key"], value, document["ModifyIndex"])
+
+
+def _is_connection_lost(error: StoreError) -> bool:
+    return error.detail.startswith(ConnectionClosedError.__name__)
