--- a/knapweedlead/accounts/_ledger.py
+++ b/knapweedlead/accounts/_ledger.py
@@ -2,7 +2,7 @@
 
 The pool and all tokens that entries may still spend together never exceed the
 burst, and the pool grows by the rate at most. So, in every window, entries
-spend at most burst + rate x window. See docs/design/RATES.md for the proof.
+spend at most burst + rate x window. See docs/design/rates.md for the proof.
 """
 
 import math
