Slots: role split; slots handed to a leaving daemon are freed

Change: guards, store calls and decisions are modules of their own; a leaving daemon promises nothing, takes only what is handed to it, and frees that.

--- a/knapweedlead/ownership/_role.py
+++ b/knapweedlead/ownership/_role.py
@@ -17,54 +17,48 @@
     ShutdownRequested,
     Started,
     StoreAnswered,
-    StoreCall,
     StoreCalls,
     Tick,
     handles,
     handles_message,
 )
 from knapweedlead.ownership._candidates import Candidates
+from knapweedlead.ownership._decisions import SlotDecisions
 from knapweedlead.ownership._directory import SlotDirectory
 from knapweedlead.ownership._events import (
     BackupNamed,
     SlotAcquired,
     SlotLost,
     SlotReleasing,
-    Takeover,
 )
+from knapweedlead.ownership._guards import Guards
 from knapweedlead.ownership._messages import (
+    Appointment,
     SlotHandover,
     SlotHeartbeat,
     SlotHint,
     SlotPromise,
 )
-from knapweedlead.ownership._owned import Guard, OwnedSlot
+from knapweedlead.ownership._owned import OwnedSlot
 from knapweedlead.ownership._promises import Promises, appointment_of
 from knapweedlead.ownership._record import (
     SLOTS_PREFIX,
     SlotRecord,
     decode_record,
-    encode_record,
     free_record,
     key_of,
 )
-from knapweedlead.ownership._times import CLOCK_MARGIN, OwnershipTimes
+from knapweedlead.ownership._slot_store import SlotStore
+from knapweedlead.ownership._times import OwnershipTimes
 from knapweedlead.ownership._writes import (
     SlotWrite,
     WriteKind,
-    appointment,
-    claim,
-    release,
-    renewal,
 )
-from knapweedlead.platform import CompareAndSwap, Entry, Get, List, Listing
+from knapweedlead.platform import Entry, Listing
 from knapweedlead.statecharts import Statechart
 
 SLOT_CHART = Statechart.load("knapweedlead.ownership", "slot.json")
 
-RETRY_SECONDS = 0.5
-"""Seconds between two readings of one slot."""
-
 PEERS_ASKED = 2
 """Members that are asked about a slot after its owner and its backup."""
 
@@ -99,24 +93,22 @@
     ) -> None:
         self.identity = identity
         self.membership = membership
-        self.store_calls = store_calls
+        self._store = SlotStore(store_calls)
         self.times = times
         self.number_of_slots = number_of_slots
         self.directory = SlotDirectory(number_of_slots)
         self.candidates = Candidates(identity, membership, times)
+        self._decisions = SlotDecisions(
+            identity, times, self.candidates, self.directory
+        )
         self.owned_by_slot: dict[int, OwnedSlot] = {}
-        self.guard_by_slot: dict[int, Guard] = {}
+        self.guards = Guards(identity, times)
         self.state_by_slot: dict[int, str] = {}
         self._promises = Promises()
         self._is_leaving = False
-        self._listing = 0
         self._next_list = 0.0
         self._next_heartbeat = 0.0
         self._next_handover = 0.0
-        self._next_read_by_slot: dict[int, float] = {}
-        self._slot_by_call: dict[int, int] = {}
-        self._write_by_call: dict[int, SlotWrite] = {}
-        self._write_by_slot: dict[int, SlotWrite] = {}
 
     def owned(self, slot: int, now: float) -> OwnedSlot | None:
         """Return a slot for which this daemon may act at `now`."""
@@ -147,7 +139,7 @@
     def refresh(self, slot: int, now: float) -> Iterator[Effect]:
         """Read a slot whose owner does not answer."""
         members = len(self.membership.by_name)
-        yield from self._read(slot, now, members * REFRESH_SECONDS_PER_MEMBER)
+        yield from self._store.read(slot, now, members * REFRESH_SECONDS_PER_MEMBER)
 
     @handles(Started)
     def on_started(self, event: Started, now: float) -> Iterator[Effect]:
@@ -170,11 +162,13 @@
             yield from self._send_heartbeats(now)
         for slot, owned in self.owned_by_slot.items():
             self._note_authority(slot, owned, now)
-            if self._is_write_due(owned, now):
-                yield from self._read(slot, now)
-        for slot, guard in self.guard_by_slot.items():
-            if guard.is_lapsed(now, self.times):
-                yield from self._read(slot, now)
+            if self._decisions.is_write_due(owned, now):
+                yield from self._store.read(slot, now)
+        for slot in self.guards.lapsed_slots(now):
+            yield from self._store.read(slot, now)
+        if self._is_leaving:
+            yield from self._release_all(now)
+            return
         yield from self._read_free_slots(now)
         yield from self._hand_over_one(now)
 
@@ -182,20 +176,7 @@
         members = len(self.membership.by_name)
         period = max(self.times.list_s, members * self.times.list_s_per_member)
         self._next_list = now + period
-        self._listing = self.store_calls.next()
-        yield StoreCall(self._listing, List(SLOTS_PREFIX))
-
-    def _read(self, slot: int, now: float, pause: float = 0.0) -> Iterator[Effect]:
-        if now < self._next_read_by_slot.get(slot, now) or slot in self._busy_slots():
-            return
-        self._next_read_by_slot[slot] = now + max(RETRY_SECONDS, pause)
-        call = self.store_calls.next()
-        self._slot_by_call[call] = slot
-        yield StoreCall(call, Get(key_of(slot)))
-
-    def _busy_slots(self) -> set[int]:
-        writing = {write.record.slot for write in self._write_by_call.values()}
-        return writing | set(self._slot_by_call.values())
+        yield self._store.list()
 
     def _send_heartbeats(self, now: float) -> Iterator[Effect]:
         owned = [
@@ -208,27 +189,12 @@
         may_act = owned.may_act(now, self.times)
         self._advance(slot, "authority_renewed" if may_act else "authority_lapsed")
 
-    def _is_write_due(self, owned: OwnedSlot, now: float) -> bool:
-        return (
-            now >= owned.renewed_at + self.times.renewal_s
-            or self._is_to_be_freed(owned, now)
-            or self.candidates.is_backup_to_change(owned, now)
-        )
-
-    def _is_to_be_freed(self, owned: OwnedSlot, now: float) -> bool:
-        if owned.released_at is None:
-            return False
-        wait = self.times.promise_s if owned.record.backup else 0.0
-        return now >= owned.released_at + wait
-
     def _read_free_slots(self, now: float) -> Iterator[Effect]:
-        if self._is_leaving:
-            return
         for slot, record in self.directory.record_by_slot.items():
             if record.is_free and self.candidates.may_claim_free(
                 slot, self.directory.unchanged_for(slot, now)
             ):
-                yield from self._read(slot, now)
+                yield from self._store.read(slot, now)
 
     def _hand_over_one(self, now: float) -> Iterator[Effect]:
         if now < self._next_handover:
@@ -248,10 +214,13 @@
     def on_shutdown(self, event: ShutdownRequested, now: float) -> Iterator[Effect]:
         """Hand every owned slot over, or free it."""
         self._is_leaving = True
+        yield from self._release_all(now)
+
+    def _release_all(self, now: float) -> Iterator[Effect]:
         for owned in list(self.owned_by_slot.values()):
             yield from self._release(owned, now)
             if not owned.record.backup:
-                yield from self._read(owned.record.slot, now)
+                yield from self._store.read(owned.record.slot, now)
 
     def _release(self, owned: OwnedSlot, now: float) -> Iterator[Effect]:
         if owned.released_at is not None:
@@ -271,14 +240,15 @@
     @handles(StoreAnswered)
     def on_store_answered(self, event: StoreAnswered, now: float) -> Iterator[Effect]:
         """Take up what was read or written."""
-        if event.call == self._listing:
+        if event.call == self._store.listing:
             yield from self._on_listing(event, now)
-        elif event.call in self._slot_by_call:
-            del self._slot_by_call[event.call]
+        elif self._store.pop_read(event.call) is not None:
             if not isinstance(event.result, Err):
                 yield from self._on_entry(event.result.ok_value, now)
-        elif event.call in self._write_by_call:
-            yield from self._on_written(event, now)
+        else:
+            write = self._store.pop_write(event.call)
+            if write is not None:
+                yield from self._on_written(write, event, now)
 
     def _on_listing(self, event: StoreAnswered, now: float) -> Iterator[Effect]:
         if isinstance(event.result, Err):
@@ -305,7 +275,7 @@
             return
         self.directory.observe(record, entry.revision, now)
         yield from self._settle(record, now)
-        if slot in self._busy_slots():
+        if self._store.is_busy(slot):
             return
         write = self._next_write(record, now)
         if write is not None:
@@ -314,118 +284,48 @@
     def _settle(self, record: SlotRecord, now: float) -> Iterator[Effect]:
         """Compare a record that was read with what this daemon holds."""
         slot = record.slot
-        guard = self.guard_by_slot.get(slot)
-        if guard is not None:
-            guard.is_unresolved = False
-            if not guard.matches(
-                record, self.identity.name, self.identity.incarnation
-            ) and not self._is_own(record):
-                del self.guard_by_slot[slot]
+        is_own = self._decisions.is_own(record)
+        self.guards.settle(record, is_own)
         owned = self.owned_by_slot.get(slot)
-        write = self._write_by_slot.get(slot)
-        if self._is_own(record):
-            if owned is None or owned.record != record:
-                yield from self._confirm(self._write_of(record, write, now), now)
-        elif owned is not None:
+        if not is_own:
             yield from self._lose(slot)
-
-    def _write_of(
-        self, record: SlotRecord, write: SlotWrite | None, now: float
-    ) -> SlotWrite:
-        if write is not None and write.record == record:
-            return write
-        owned = self.owned_by_slot.get(record.slot)
-        if owned is not None:
-            return SlotWrite(WriteKind.RENEW, record, owned.renewed_at)
-        wait = self.times.promise_s * CLOCK_MARGIN
-        sent_at = now - self.times.lapse_s
-        return SlotWrite(WriteKind.CLAIM, record, sent_at, Takeover.EXPIRED, now + wait)
-
-    def _is_own(self, record: SlotRecord) -> bool:
-        return (record.owner, record.incarnation) == (
-            self.identity.name,
-            self.identity.incarnation,
-        )
+        elif owned is None or owned.record != record:
+            last = self._store.last_write(slot)
+            landed = self._decisions.landed_write(record, owned, last, now)
+            yield from self._confirm(landed, now)
 
     def _next_write(self, record: SlotRecord, now: float) -> SlotWrite | None:
         owned = self.owned_by_slot.get(record.slot)
         if owned is not None:
-            return self._next_write_of_owner(owned, now)
-        guard = self.guard_by_slot.get(record.slot)
+            return self._decisions.write_of_owner(owned, now)
+        guard = self.guards.by_slot.get(record.slot)
         if guard is not None:
-            if not guard.is_lapsed(now, self.times):
-                return None
-            takeover = Takeover.HANDOVER if guard.is_released else Takeover.BACKUP
-            return claim(record, self.identity, now, takeover, now)
+            return self._decisions.takeover(record, guard, self._is_leaving, now)
         if self._is_leaving:
             return None
-        return self._claim_of_candidate(record, now)
-
-    def _next_write_of_owner(self, owned: OwnedSlot, now: float) -> SlotWrite | None:
-        record = owned.record
-        if owned.released_at is not None:
-            return release(record, now) if self._is_to_be_freed(owned, now) else None
-        if self.candidates.is_backup_to_change(owned, now):
-            backup = self.candidates.backup_for(record.slot, now)
-            return appointment(record, backup, now)
-        if now >= owned.renewed_at + self.times.renewal_s:
-            return renewal(record, now)
-        return None
-
-    def _claim_of_candidate(self, record: SlotRecord, now: float) -> SlotWrite | None:
-        slot = record.slot
-        unchanged = self.directory.unchanged_for(slot, now)
-        if record.is_free:
-            if not self.candidates.may_claim_free(slot, unchanged):
-                return None
-            return claim(record, self.identity, now, Takeover.FREE, now)
-        wait = self.times.promise_s * CLOCK_MARGIN
-        if record.owner == self.identity.name:
-            if record.incarnation > self.identity.incarnation:
-                return None
-            return claim(record, self.identity, now, Takeover.RESTART, now + wait)
-        lapse = self.times.lapse_s * CLOCK_MARGIN
-        if unchanged > lapse and self.candidates.may_claim_free(
-            slot, unchanged - lapse
-        ):
-            return claim(record, self.identity, now, Takeover.EXPIRED, now)
-        return None
+        return self._decisions.claim_of_candidate(record, now)
 
     def _send_write(self, write: SlotWrite, revision: int) -> Effect:
         slot = write.record.slot
-        earlier = self._write_by_slot.get(slot)
-        if earlier is not None and earlier.record == write.record:
-            write = earlier
-        self._write_by_slot[slot] = write
-        guard = self.guard_by_slot.get(slot)
-        if guard is not None:
-            guard.is_unresolved = True
+        self.guards.set_unresolved(slot, True)
         if write.kind is WriteKind.CLAIM:
             self._advance(slot, "claim_sent")
-        call = self.store_calls.next()
-        self._write_by_call[call] = write
-        value = encode_record(write.record)
-        return StoreCall(call, CompareAndSwap(key_of(slot), value, revision))
+        return self._store.write(write, revision)
 
-    def _on_written(self, event: StoreAnswered, now: float) -> Iterator[Effect]:
-        write = self._write_by_call.pop(event.call)
+    def _on_written(
+        self, write: SlotWrite, event: StoreAnswered, now: float
+    ) -> Iterator[Effect]:
         slot = write.record.slot
-        if isinstance(event.result, Err):
-            yield Count("knapweedlead.slots.write_failures")
-            if event.result.err_value.fault is StoreFault.UNAVAILABLE:
-                self._settle_refused(slot)
-            else:
-                self._next_read_by_slot.pop(slot, None)
-                yield from self._read(slot, now)
+        if not isinstance(event.result, Err):
+            self.directory.learn(write.record)
+            yield from self._confirm(write, now)
             return
-        self.directory.learn(write.record)
-        yield from self._confirm(write, now)
-
-    def _settle_refused(self, slot: int) -> None:
-        self._advance(slot, "claim_refused")
-        guard = self.guard_by_slot.get(slot)
-        if guard is not None:
-            guard.is_unresolved = False
+        yield Count("knapweedlead.slots.write_failures")
+        if event.result.err_value.fault is StoreFault.UNAVAILABLE:
+            self._advance(slot, "claim_refused")
+            self.guards.set_unresolved(slot, False)
+        else:
+            yield from self._store.read_at_once(slot, now)
 
     def _confirm(self, write: SlotWrite, now: float) -> Iterator[Effect]:
         slot = write.record.slot
@@ -446,7 +346,7 @@
 
     def _acquire(self, write: SlotWrite, now: float) -> Iterator[Effect]:
         record = write.record
-        guard = self.guard_by_slot.pop(record.slot, None)
+        guard = self.guards.by_slot.pop(record.slot, None)
         acts_from = max(now, write.acts_from)
         if guard is not None and not guard.is_released:
             acts_from = max(acts_from, guard.lapses_at(self.times))
@@ -481,31 +381,18 @@
         if heartbeat.incarnation != self.identity.incarnation:
             return
         promised = tuple(
-            named
-            for named in heartbeat.appointments
-            if self._promise(peer, named.slot, named.epoch, named.number, now)
+            named for named in heartbeat.appointments if self._promise(peer, named, now)
         )
         yield SendMessage(peer, SlotPromise(heartbeat.sequence, promised))
 
-    def _promise(
-        self, peer: str, slot: int, epoch: int, number: int, now: float
-    ) -> bool:
-        guard = self.guard_by_slot.get(slot)
-        owned = self.owned_by_slot.get(slot)
-        if owned is not None and owned.record.epoch >= epoch:
-            return False
-        if guard is None or (guard.epoch, guard.appointment) < (epoch, number):
-            self.guard_by_slot[slot] = Guard(slot, epoch, number, peer, now)
-            return not self._is_claiming(slot)
-        if (guard.epoch, guard.appointment) > (epoch, number) or guard.is_released:
-            return False
-        if guard.is_unresolved or self._is_claiming(slot):
+    def _promise(self, peer: str, named: Appointment, now: float) -> bool:
+        owned = self.owned_by_slot.get(named.slot)
+        if self._is_leaving or (
+            owned is not None and owned.record.epoch >= named.epoch
+        ):
             return False
-        guard.promised_at = now
-        return True
-
-    def _is_claiming(self, slot: int) -> bool:
-        return any(write.record.slot == slot for write in self._write_by_call.values())
+        is_claiming = self._store.is_writing(named.slot)
+        return self.guards.promise(peer, named, is_claiming, now)
 
     @handles_message(SlotPromise)
     def on_promise(
@@ -521,17 +408,8 @@
     ) -> Iterator[Effect]:
         """Take a slot over at once."""
         named = handover.appointment
-        guard = self.guard_by_slot.get(named.slot)
-        if guard is None or (guard.epoch, guard.appointment) < (
-            named.epoch,
-            named.number,
-        ):
-            guard = Guard(named.slot, named.epoch, named.number, peer, now)
-            self.guard_by_slot[named.slot] = guard
-        if (guard.epoch, guard.appointment) == (named.epoch, named.number):
-            guard.is_released = True
-            self._next_read_by_slot.pop(named.slot, None)
-            yield from self._read(named.slot, now)
+        if self.guards.hand_over(peer, named, now):
+            yield from self._store.read_at_once(named.slot, now)
 
     @handles_message(SlotHint)
     def on_hint(self, peer: str, hint: SlotHint, now: float) -> Iterator[Effect]:
--- a/knapweedlead/ownership/tests/test_slots.py
+++ b/knapweedlead/ownership/tests/test_slots.py
@@ -170,3 +170,27 @@
         "restart",
         "expired",
     }
+
+
+def test_slots_handed_to_a_daemon_that_leaves_too_are_freed_and_not_stranded():
+    cores = settled(size=4, slots=1)
+    (owner,) = actors(cores, 0)
+    backup = cores.by_name[owner].composition.ownership.owned_by_slot[0].record.backup
+    for name in (owner, backup):
+        cores.report(cores.by_name[name], ShutdownRequested())
+    cores.run_for(1.0)
+    for name in (owner, backup):
+        cores.crash(name)
+    run_until(cores, lambda: actors(cores, 0), limit=20.0)
+
+
+def test_leaving_daemon_is_replaced_as_a_backup():
+    cores = settled(size=4, slots=1)
+    (owner,) = actors(cores, 0)
+    owned = cores.by_name[owner].composition.ownership.owned_by_slot
+    leaving = owned[0].record.backup
+    cores.report(cores.by_name[leaving], ShutdownRequested())
+    for _ in range(60):
+        cores.run_for(0.1)
+        assert actors(cores, 0) == [owner]
+    assert owned[0].record.backup not in ("", leaving)
