--- /dev/null
+++ b/benchmarks/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Cost and speed of membership."""
--- /dev/null
+++ b/benchmarks/spreading/__init__.py
@@ -0,0 +1,1 @@
+"""Ways of spreading a change of configuration, compared."""
--- a/knapweedlead/configuration/_pending_change.py
+++ b/knapweedlead/configuration/_pending_change.py
@@ -20,6 +20,7 @@
     resource_reply,
     unavailable_reply,
 )
+from knapweedlead.configuration._resources import KINDS
 from knapweedlead.errors import StoreError, StoreFault
 from knapweedlead.platform import CompareAndSwap, Entry, Get, StoreOperation
 
@@ -60,7 +61,7 @@
 
     def on_read(self, entry: Entry) -> StoreOperation | OperatorReply:
         """Return the write that makes the change, or the reply."""
-        catalogue = Catalogue(0, {})
+        catalogue = Catalogue(0, {kind: {} for kind in KINDS})
         if entry.value:
             parsed = parse_catalogue(entry.value)
             if isinstance(parsed, Err):
