--- a/knapweedlead/configuration/tests/test_spreading.py
+++ b/knapweedlead/configuration/tests/test_spreading.py
@@ -305,3 +305,14 @@
         return cores.store.calls.total() - before
 
     assert calls_of(48) <= 1.1 * calls_of(24)
+
+
+@pytest.mark.parametrize("mode", ["silent_watches", "compacted_watches"])
+def test_change_comes_through_watches_that_fail(mode):
+    cores = fleet()
+    cores.store.mode = mode
+    cores.run_for(5.0)
+    change(cores)
+    cores.run_for(IN_FORCE_SECONDS)
+    assert revisions(cores) == {2}
+    assert all(is_fresh(cores, name) for name in up(cores))
--- a/knapweedlead/platform/_http_store.py
+++ b/knapweedlead/platform/_http_store.py
@@ -37,6 +37,7 @@
 
 _NOT_FOUND = 404
 _OK = 200
+_GONE = 410
 _WATCH_GRACE = 2.0
 """Seconds that a watch's answer may take beyond its wait."""
 
@@ -108,9 +109,14 @@
         return Err(StoreError(step, self.address, detail, fault))
 
     async def _send(
-        self, method: str, path: str, body: bytes | None, timeout: float
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        timeout: float,
+        content_type: bytes = b"application/octet-stream",
     ) -> Response:
-        content = None if body is None else Content(b"application/octet-stream", body)
+        content = None if body is None else Content(content_type, body)
         session = ClientSession(
             f"http://{self.address}", http2=False, max_connection_retries=0
         )
@@ -136,6 +142,8 @@
         )
         timeout = operation.wait + _WATCH_GRACE
         response = await self._send("GET", url, None, timeout)
+        if response.status == _GONE:
+            return self._refused("store.watch", operation.key, StoreFault.COMPACTED)
         return await self._entry(operation.key, response)
 
     async def _entry(self, key: str, response: Response) -> _Answer:
@@ -172,7 +180,11 @@
     async def _create_lease(self, operation: CreateLease) -> _Answer:
         body = json.dumps({"TTL": f"{operation.seconds:g}s", "Behavior": "delete"})
         response = await self._send(
-            "PUT", "/v1/session/create", body.encode(), self.timeout
+            "PUT",
+            "/v1/session/create",
+            body.encode(),
+            self.timeout,
+            b"application/json",
         )
         document = await self._json(response)
         return Ok(LeaseGranted(document["ID"], operation.seconds))
@@ -196,7 +208,10 @@
         return await response.json()
 
     def _conflict(self, step: str, detail: str) -> _Answer:
-        return Err(StoreError(step, self.address, detail, StoreFault.CONFLICT))
+        return self._refused(step, detail, StoreFault.CONFLICT)
+
+    def _refused(self, step: str, detail: str, fault: StoreFault) -> _Answer:
+        return Err(StoreError(step, self.address, detail, fault))
 
 
 def _entry_of(document: Any) -> Entry:
--- a/standins/core_store.py
+++ b/standins/core_store.py
@@ -53,7 +53,8 @@
     Attributes
     ----------
     mode : str
-        ``none``, ``down``, ``lose_answers`` or ``silent_watches``.
+        ``none``, ``down``, ``lose_answers``, ``silent_watches`` or
+        ``compacted_watches``.
     calls : Counter
         Calls by operation name.
     """
@@ -71,6 +72,9 @@
         if self.mode == "down":
             answered(_failed(StoreFault.UNAVAILABLE))
             return
+        if isinstance(operation, Watch) and self.mode == "compacted_watches":
+            answered(_failed(StoreFault.COMPACTED))
+            return
         if isinstance(operation, Watch):
             self._watch(operation, clock, answered)
             return
--- a/standins/store.py
+++ b/standins/store.py
@@ -2,8 +2,9 @@
 
 Serves the published interface of Consul's key-value store. ``PUT /faults`` sets
 ``{"mode": ..., "delay_s": ...}`` with a mode of ``none``, ``down``,
-``lose_answers`` (writes take effect, their answers are lost) or
-``silent_watches``. ``GET /calls`` counts the calls by operation.
+``lose_answers`` (writes take effect, their answers are lost),
+``silent_watches`` or ``compacted_watches`` (a watch is refused with status 410).
+``GET /calls`` counts the calls by operation.
 """
 
 import asyncio
@@ -24,7 +25,7 @@
 
 Handler = Callable[[Request], Awaitable[Response]]
 
-MODES = ("none", "down", "lose_answers", "silent_watches")
+MODES = ("none", "down", "lose_answers", "silent_watches", "compacted_watches")
 
 
 class StoreServer:
@@ -80,6 +81,8 @@
         if refusal is not None:
             return refusal
         key = _key_of(request)
+        if "index" in request.query and self.mode == "compacted_watches":
+            return text("compacted", 410)
         if "index" in request.query:
             await self._wait_for_change(key, request)
         if "recurse" in request.query:
