--- a/benchmarks/spreading/_measure.py
+++ b/benchmarks/spreading/_measure.py
@@ -50,7 +50,7 @@
     relays = [
         name
         for name, core in cores.by_name.items()
-        if core.composition.configuration._confirmer.is_relay()
+        if core.composition.configuration.is_relay
     ]
     for name in relays[:relays_lost]:
         cores.crash(name)
--- a/knapweedlead/configuration/_role.py
+++ b/knapweedlead/configuration/_role.py
@@ -95,6 +95,11 @@
         """Revision in force; 0 before the first."""
         return 0 if self.catalogue is None else self.catalogue.revision
 
+    @property
+    def is_relay(self) -> bool:
+        """Whether this daemon watches the store for its data centre."""
+        return self._confirmer.is_relay()
+
     def is_fresh(self, now: float) -> bool:
         """Return whether the revision in force may still be served.
 
@@ -112,7 +117,7 @@
     @handles(Tick)
     def on_tick(self, event: Tick, now: float) -> Iterator[Effect]:
         """Watch the store as a relay, and ask for confirmations."""
-        is_relay = self._confirmer.is_relay()
+        is_relay = self.is_relay
         if is_relay:
             yield from self._watch_store(now)
         elif self._watch.call or self._watch.entry is not None:
@@ -286,7 +291,7 @@
         """Say what is known of the newest revision."""
         if request.revision > self.revision:
             yield from self._pull(peer, now)
-        is_cut_off = self._confirmer.is_relay() and self._is_cut_off(now)
+        is_cut_off = self.is_relay and self._is_cut_off(now)
         reply = ConfirmReply(
             request.number,
             self.revision,
--- a/knapweedlead/configuration/tests/test_spreading.py
+++ b/knapweedlead/configuration/tests/test_spreading.py
@@ -70,7 +70,7 @@
 
 
 def relays(cores):
-    return [n for n in up(cores) if role(cores, n)._confirmer.is_relay()]
+    return [n for n in up(cores) if role(cores, n).is_relay]
 
 
 def cut_between(cores, left, right):
@@ -316,3 +316,15 @@
     cores.run_for(IN_FORCE_SECONDS)
     assert revisions(cores) == {2}
     assert all(is_fresh(cores, name) for name in up(cores))
+
+
+def test_relay_cut_off_in_a_fleet_of_one_data_centre_stops_serving_in_time():
+    cores = fleet(count=5, data_centres=1)
+    cut = next(name for name in relays(cores) if name != "m0")
+    cores.cut_from_store.add(cut)
+    cut_between(cores, [cut], [name for name in up(cores) if name != cut])
+    change(cores, at=next(name for name in up(cores) if name != cut))
+    cores.run_for(IN_FORCE_SECONDS)
+    assert stale_and_serving(cores, 2) == []
+    cores.run_for(60.0)
+    assert not is_fresh(cores, cut)
--- a/knapweedlead/membership/_role.py
+++ b/knapweedlead/membership/_role.py
@@ -54,7 +54,7 @@
 """Period of pings to members held for dead."""
 HEAL_PROBE_SECONDS = 0.2
 """The same while dead members return."""
-CONTACT_SECONDS = 3.0
+CONTACT_SECONDS = 1.0
 """Seconds without a heartbeat after which a daemon counts as isolated."""
 QUIET_SECONDS = 3.0
 """Seconds without a change after which tables should be equal."""
