--- a/knapweedlead/configuration/tests/test_spreading.py
+++ b/knapweedlead/configuration/tests/test_spreading.py
@@ -6,13 +6,13 @@
 from knapweedlead.configuration._messages import CataloguePush, PullReply
 from knapweedlead.node import MessageReceived
 from knapweedlead.settings import ConfigurationSettings
-from standins.cores import Cores
+from standins.control_cores import ControlCores
 
 IN_FORCE_SECONDS = 7.0
 
 
 def fleet(count=24, data_centres=4, seed=2, spreading="partitioned_tree"):
-    cores = Cores(seed=seed)
+    cores = ControlCores(seed=seed)
     for number in range(count):
         place = number % data_centres
         cores.add(
@@ -70,7 +70,7 @@
 
 
 def relays(cores):
-    return [n for n in up(cores) if role(cores, n)._confirmer.is_relay()]
+    return [n for n in up(cores) if role(cores, n).is_relay]
 
 
 def cut_between(cores, left, right):
@@ -305,3 +305,26 @@
         return cores.store.calls.total() - before
 
     assert calls_of(48) <= 1.1 * calls_of(24)
+
+
+@pytest.mark.parametrize("mode", ["silent_watches", "compacted_watches"])
+def test_change_comes_through_watches_that_fail(mode):
+    cores = fleet()
+    cores.store.mode = mode
+    cores.run_for(5.0)
+    change(cores)
+    cores.run_for(IN_FORCE_SECONDS)
+    assert revisions(cores) == {2}
+    assert all(is_fresh(cores, name) for name in up(cores))
+
+
+def test_relay_cut_off_in_a_fleet_of_one_data_centre_stops_serving_in_time():
+    cores = fleet(count=5, data_centres=1)
+    cut = next(name for name in relays(cores) if name != "m0")
+    cores.cut_from_store.add(cut)
+    cut_between(cores, [cut], [name for name in up(cores) if name != cut])
+    change(cores, at=next(name for name in up(cores) if name != cut))
+    cores.run_for(IN_FORCE_SECONDS)
+    assert stale_and_serving(cores, 2) == []
+    cores.run_for(60.0)
+    assert not is_fresh(cores, cut)
