A guard that cannot confirm its configuration takes no call

Cause: a daemon that has just started knows the catalogue from its peers before it has confirmed it. Ruled out: freshness lost while leaving (over cores a leaving daemon stays confirmed; the log shows that the new process refused). Change: the guard refuses such calls, 'not_run', and entries try elsewhere. Before: the new check fails, no refusal.

--- a/knapweedlead/calls/_guard.py
+++ b/knapweedlead/calls/_guard.py
@@ -171,6 +171,8 @@
             return RefusalReason.DRAINING
         if self._checks is None:
             return RefusalReason.CONFIGURATION_UNKNOWN
+        if not self.configuration.is_fresh(now):
+            return RefusalReason.CONFIGURATION_STALE
         reason = self._checks.reason_to_refuse(call.request)
         if reason is None and call.deadline <= now:
             return RefusalReason.DEADLINE_EXCEEDED
--- a/knapweedlead/calls/tests/test_guard.py
+++ b/knapweedlead/calls/tests/test_guard.py
@@ -61,7 +61,10 @@
     """One guard as a whole node, with the effects it asked for."""
 
     def __init__(self, slots=2, cold_slots=1, cold_start_s=0.0):
-        self.configuration = SimpleNamespace(catalogue=catalogue())
+        self.is_fresh = True
+        self.configuration = SimpleNamespace(
+            catalogue=catalogue(), is_fresh=lambda now: self.is_fresh
+        )
         limits = BackendServerSettings(
             "127.0.0.1:3", slots, cold_slots, cold_start_s, 100
         )
@@ -206,6 +209,14 @@
     assert bench.guard.is_idle
 
 
+def test_guard_that_cannot_confirm_its_configuration_takes_no_call():
+    bench = Bench()
+    bench.is_fresh = False
+    _, effects = bench.send()
+    assert refusals_in(effects) == [("configuration_stale", "not_run")]
+    assert runs_in(effects) == []
+
+
 def test_calls_sent_before_entries_could_know_of_the_drain_are_taken_on():
     bench = Bench(slots=1)
     bench.report(ShutdownRequested())
