Spread changes by flooding the fingers

Cause: the partitioned tree was the default before the ways were compared. After: tests of configuration, settings, spreading, the thin path and docs pass with the new default.

--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -109,7 +109,7 @@
     return cores
 
 
-def settled_fleet(count: int, seed: int, spreading: str = "partitioned_tree") -> Any:
+def settled_fleet(count: int, seed: int, spreading: str = "flood") -> Any:
     """Return a fleet whose members all know each other and one revision."""
     cores = control_fleet(count, seed, configuration=ConfigurationSettings(spreading))
     while set(cores.known()) != {count}:
--- a/knapweedlead/configuration/tests/test_spreading.py
+++ b/knapweedlead/configuration/tests/test_spreading.py
@@ -11,7 +11,7 @@
 IN_FORCE_SECONDS = 7.0
 
 
-def fleet(count=24, data_centres=4, seed=2, spreading="partitioned_tree"):
+def fleet(count=24, data_centres=4, seed=2, spreading="flood"):
     cores = ControlCores(seed=seed)
     for number in range(count):
         place = number % data_centres
--- a/knapweedlead/settings/_schema.py
+++ b/knapweedlead/settings/_schema.py
@@ -158,7 +158,7 @@
 class ConfigurationSettings:
     """Name of the policy by which configuration spreads."""
 
-    spreading: str = "partitioned_tree"
+    spreading: str = "flood"
 
     parameter_constraints: ClassVar[dict[str, Constraint]] = {
         "spreading": Choice(("flood", "gossip", "partitioned_tree"))
