Once records: hints no longer multiply what is sent again

Cause: each hint about a slot made every claim and settlement of that slot be sent again at once; each of them brought another hint. With the owner gone, and settlements repeated for 60 s, messages grew with the square of what waited. Change: at most 4 attempts of a claim or settlement are sent before their time.

--- a/knapweedlead/requests/_once_role.py
+++ b/knapweedlead/requests/_once_role.py
@@ -66,6 +66,9 @@
 HASTE_SECONDS = 0.05
 """Seconds until what reached no owner is sent again."""
 
+MAX_HASTENED = 4
+"""Attempts of one claim or settlement that are sent before their time."""
+
 SETTLE_SECONDS = 60.0
 """Seconds for which a settlement is sent again."""
 
@@ -239,7 +242,7 @@
     def _hasten(self, ticket: int, now: float) -> Iterator[Effect]:
         for by_ticket in (self._claim_by_ticket, self._settlement_by_ticket):
             asked = by_ticket.get(ticket)
-            if asked is not None:
+            if asked is not None and asked.attempt < MAX_HASTENED:
                 asked.sent_at = now - RESEND_SECONDS
                 yield WakeAt(now + HASTE_SECONDS)
 
