The durability of a standing route cannot change; digests of keys are checked

Mending it in the owner would need the time of the route's change there. Change: a change of is_durable on a standing route is refused whole (409). A key needs 64 hexadecimal digits. Before: 6 new checks fail.

--- a/knapweedlead/configuration/_change.py
+++ b/knapweedlead/configuration/_change.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from knapweedlead.configuration._catalogue import AcceptedChange, Catalogue
-from knapweedlead.configuration._resources import Resource
+from knapweedlead.configuration._resources import Resource, Route
 
 MAX_CHANGES = 512
 """Changes that a catalogue remembers."""
@@ -112,9 +112,25 @@
     if new_problems:
         detail = "; ".join(sorted(new_problems))
         return Err(Refusal(409, "inconsistent", detail, current))
+    if _moves_once_records(catalogue, change):
+        detail = "is_durable of a standing route cannot change; delete the route first"
+        return Err(Refusal(409, "inconsistent", detail, current, "is_durable"))
     return Ok(changed)
 
 
+def _moves_once_records(catalogue: Catalogue, change: Change) -> bool:
+    """Return whether a change would lose sight of a route's once records.
+
+    Claims in memory are not known to the store, nor those in the store to the
+    owner of a slot, so that a repeated key could run again.
+    """
+    before = catalogue.by_kind.get("routes", {}).get(change.name)
+    after = change.resource
+    if not isinstance(before, Route) or not isinstance(after, Route):
+        return False
+    return before.is_durable != after.is_durable
+
+
 def _with_change(catalogue: Catalogue, change: Change) -> Catalogue:
     revision = catalogue.revision + 1
     record = AcceptedChange(
--- a/knapweedlead/configuration/_resources.py
+++ b/knapweedlead/configuration/_resources.py
@@ -1,5 +1,6 @@
 """Resource kinds that operators declare, with their constraints."""
 
+import re
 from typing import Any, ClassVar
 
 import attrs
@@ -13,10 +14,25 @@
 LEAST_IMPORTANT = 9
 """Highest priority number; 0 is the most important."""
 
+_DIGEST = re.compile(r"[0-9a-f]{64}")
+
 _TEXT = InstanceOf(str)
 _FLAG = InstanceOf(bool)
 
 
+@attrs.frozen
+class Digest:
+    """Constraint: a SHA-256 digest in lower-case hexadecimal."""
+
+    def accepts(self, value: Any) -> bool:
+        """Return whether `value` is a whole digest."""
+        return isinstance(value, str) and _DIGEST.fullmatch(value) is not None
+
+    def describe(self) -> str:
+        """Return what is expected."""
+        return "64 lower-case hexadecimal digits"
+
+
 @attrs.frozen
 class Resource:
     """Base of the resource kinds.
@@ -79,7 +95,7 @@
     constraints: ClassVar[dict[str, Constraint]] = {
         "name": _TEXT,
         "client_account": _TEXT,
-        "sha256": _TEXT,
+        "sha256": Digest(),
         "is_withdrawn": _FLAG,
     }
 
--- a/knapweedlead/configuration/tests/test_operators.py
+++ b/knapweedlead/configuration/tests/test_operators.py
@@ -67,6 +67,31 @@
     assert (read.document["burst"], read.document["revision"]) == (20, 1)
 
 
+@pytest.mark.parametrize("is_durable", [True, False])
+def test_once_records_of_a_standing_route_keep_their_place(cores, is_durable):
+    ask(cores, "a", ApplyResource("services", "front", {}, None, ""))
+    route = {
+        "path_prefix": "/orders",
+        "service": "front",
+        "priority": 0,
+        "is_idempotent": False,
+        "is_durable": is_durable,
+    }
+    ask(cores, "a", ApplyResource("routes", "orders", route, None, ""))
+    moved = {**route, "is_durable": not is_durable}
+    refused = ask(cores, "a", ApplyResource("routes", "orders", moved, None, ""))
+    assert (refused.status, refused.document["reason"]) == (409, "inconsistent")
+    assert "is_durable" in refused.document["detail"]
+
+
+@pytest.mark.parametrize("digest", ["", "abc", "G" * 64, "a" * 63])
+def test_key_needs_a_whole_digest(cores, digest):
+    apply_account(cores)
+    key = {"client_account": "crew", "sha256": digest}
+    refused = ask(cores, "a", ApplyResource("keys", "crew_1", key, None, ""))
+    assert (refused.status, refused.document["field"]) == (422, "sha256")
+
+
 def test_creation_is_refused_where_the_resource_exists(cores):
     assert apply_account(cores, expected=0).status == 200
     assert apply_account(cores, expected=0).status == 412
