Status tells who is cold, draining and refusing, and how full each guard is

Change: a member's report in the collected status carries its guard's load. Before: the new check fails for want of the fields.

--- a/knapweedlead/configuration/_messages.py
+++ b/knapweedlead/configuration/_messages.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from knapweedlead.messages import message
+from knapweedlead.messages import LoadReport, message, nested
 
 
 @message(30)
@@ -110,10 +110,27 @@
     seconds: float
 
 
+@nested
+@attrs.frozen
+class MemberReport:
+    """What a member tells about itself.
+
+    Parameters
+    ----------
+    revision : int
+        Revision in force.
+    load : LoadReport
+        State of its guard.
+    """
+
+    revision: int
+    load: LoadReport
+
+
 @message(36)
 @attrs.frozen
 class StatusAnswer:
-    """Revisions in force, by member name."""
+    """Reports of members, by name."""
 
     number: int
-    revision_by_name: dict[str, int]
+    report_by_name: dict[str, MemberReport]
--- a/knapweedlead/configuration/_status.py
+++ b/knapweedlead/configuration/_status.py
@@ -1,17 +1,22 @@
 """Role that collects the revisions in force on all members."""
 
-import math
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from operator import attrgetter
 from typing import Any
 
 import attrs
 
-from knapweedlead.configuration._messages import StatusAnswer, StatusQuery
+from knapweedlead.configuration._messages import (
+    MemberReport,
+    StatusAnswer,
+    StatusQuery,
+)
+from knapweedlead.configuration._resources import LEAST_IMPORTANT
 from knapweedlead.configuration._role import ConfigurationRole
 from knapweedlead.configuration._spreading import PartitionedTree
-from knapweedlead.membership import MembershipRole, ring_position
+from knapweedlead.membership import Member, MembershipRole, ring_position
+from knapweedlead.messages import LoadReport
 from knapweedlead.node import (
     Effect,
     Event,
@@ -34,6 +39,9 @@
 MAX_MISSING = 64
 """Members asked one by one."""
 
+NO_REPORT = MemberReport(0, LoadReport(0, 0, 0, LEAST_IMPORTANT + 1, False, False))
+"""Stands for a member that has reported nothing since its start."""
+
 
 @attrs.frozen
 class StatusCollected(Event):
@@ -60,7 +68,7 @@
     asker_number: int
     deadline: float
     awaited: set[str] = attrs.field(factory=set)
-    revision_by_name: dict[str, int] = attrs.field(factory=dict)
+    report_by_name: dict[str, MemberReport] = attrs.field(factory=dict)
     is_one_by_one: bool = False
 
 
@@ -73,18 +81,24 @@
         Knows the members.
     configuration : ConfigurationRole
         Knows the revision in force.
+    load_of : callable
+        Returns the state of the own guard at a time.
     """
 
     def __init__(
-        self, membership: MembershipRole, configuration: ConfigurationRole
+        self,
+        membership: MembershipRole,
+        configuration: ConfigurationRole,
+        load_of: Callable[[float], LoadReport],
     ) -> None:
+        self.load_of = load_of
         self.membership = membership
         self.configuration = configuration
         self._tree = PartitionedTree(membership.rng)
         self._by_number: dict[int, _Collection] = {}
         self._last_number = 0
         self._own_number = 0
-        self._report_by_name: dict[str, tuple[int, int]] = {}
+        self._report_by_name: dict[str, tuple[int, MemberReport]] = {}
 
     def collect(self, now: float) -> Iterator[Effect]:
         """Start to collect, unless that is under way; ends in `StatusCollected`."""
@@ -105,7 +119,7 @@
         self, collection: _Collection, until: int, seconds: float, now: float
     ) -> Iterator[Effect]:
         own = self.membership.own
-        collection.revision_by_name[own.name] = self.configuration.revision
+        collection.report_by_name[own.name] = self._own_report(now)
         number = self._begin(collection)
         fingers = self.membership.fingers()
         for target in self._tree.targets(own.name, until, fingers, fingers):
@@ -129,9 +143,8 @@
         if seconds > 0.0:
             yield from self._ask_tree(collection, query.until, seconds, now)
             return
-        revision = self.configuration.revision
-        own_revision = {self.membership.own.name: revision}
-        yield SendMessage(peer, StatusAnswer(query.number, own_revision))
+        own = {self.membership.own.name: self._own_report(now)}
+        yield SendMessage(peer, StatusAnswer(query.number, own))
 
     @handles_message(StatusAnswer)
     def on_status_answer(
@@ -142,7 +155,7 @@
         if collection is None or peer not in collection.awaited:
             return
         collection.awaited.discard(peer)
-        collection.revision_by_name.update(answer.revision_by_name)
+        collection.report_by_name.update(answer.report_by_name)
         yield from self._end_if_whole(answer.number, now)
 
     @handles(SendFailed)
@@ -168,7 +181,7 @@
     def _end(self, number: int, now: float) -> Iterator[Effect]:
         collection = self._by_number.pop(number)
         if collection.asker:
-            answer = StatusAnswer(collection.asker_number, collection.revision_by_name)
+            answer = StatusAnswer(collection.asker_number, collection.report_by_name)
             yield SendMessage(collection.asker, answer)
             return
         missing = self._missing(collection)
@@ -179,7 +192,7 @@
 
     def _missing(self, collection: _Collection) -> list[str]:
         known = self.membership.by_name
-        return [name for name in known if name not in collection.revision_by_name]
+        return [name for name in known if name not in collection.report_by_name]
 
     def _ask_one_by_one(
         self, collection: _Collection, names: list[str], now: float
@@ -192,35 +205,45 @@
             yield self._ask(collection, name, StatusQuery(number, 0, 0.0))
         yield WakeAt(collection.deadline)
 
+    def _own_report(self, now: float) -> MemberReport:
+        return MemberReport(self.configuration.revision, self.load_of(now))
+
     def _document(self, collection: _Collection) -> dict[str, Any]:
         by_name = self.membership.table.by_name
-        for name, revision in collection.revision_by_name.items():
+        for name, report in collection.report_by_name.items():
             if name in by_name:
-                self._report_by_name[name] = (by_name[name].incarnation, revision)
+                self._report_by_name[name] = (by_name[name].incarnation, report)
         members = sorted(by_name.values(), key=attrgetter("name"))
-        revisions = [self._last_reported(member) for member in members]
+        documents = [self._member_document(member) for member in members]
         running = self.membership.by_name
         in_force_on = Counter(
-            str(revision)
-            for member, revision in zip(members, revisions, strict=True)
-            if member.name in running
+            str(document["revision"])
+            for document in documents
+            if document["name"] in running
         )
         return {
             "revision": self.configuration.revision,
-            "members": [
-                {
-                    "name": member.name,
-                    "service": member.service,
-                    "data_centre": member.data_centre,
-                    "region": member.region,
-                    "state": member.state,
-                    "revision": revision,
-                }
-                for member, revision in zip(members, revisions, strict=True)
-            ],
+            "members": documents,
             "in_force_on": dict(in_force_on),
         }
 
-    def _last_reported(self, member: Any) -> int:
-        incarnation, revision = self._report_by_name.get(member.name, (math.nan, 0))
-        return revision if incarnation == member.incarnation else 0
+    def _member_document(self, member: Member) -> dict[str, Any]:
+        incarnation, report = self._report_by_name.get(member.name, (0, NO_REPORT))
+        if incarnation != member.incarnation:
+            report = NO_REPORT
+        load = report.load
+        is_refusing = load.refused_priority <= LEAST_IMPORTANT
+        return {
+            "name": member.name,
+            "service": member.service,
+            "data_centre": member.data_centre,
+            "region": member.region,
+            "state": member.state,
+            "revision": report.revision,
+            "is_cold": load.is_cold,
+            "is_draining": load.is_draining,
+            "in_flight": load.in_flight,
+            "queued": load.queued,
+            "limit": load.limit,
+            "refused_priority": load.refused_priority if is_refusing else None,
+        }
--- a/knapweedlead/configuration/tests/test_operators.py
+++ b/knapweedlead/configuration/tests/test_operators.py
@@ -11,6 +11,7 @@
     GetStatus,
     ListResources,
 )
+from knapweedlead.messages import LoadReport
 from standins.control_cores import ControlCores
 
 ACCOUNT = {"rate_per_s": 10, "burst": 20}
@@ -260,3 +261,15 @@
         "knapweedlead.configuration._pending_change.MAX_VALUE_BYTES", 100
     )
     assert apply_account(cores).document["reason"] == "catalogue_too_large"
+
+
+def test_status_tells_who_is_cold_draining_and_refusing(cores, monkeypatch):
+    guard = cores.by_name["b"].composition.guard
+    load = LoadReport(4, 3, 2, 6, is_cold=True, is_draining=True)
+    monkeypatch.setattr(guard, "load_report", lambda now: load)
+    by_name = {m["name"]: m for m in ask(cores, "a", GetStatus()).document["members"]}
+    assert (by_name["b"]["is_cold"], by_name["b"]["is_draining"]) == (True, True)
+    assert by_name["b"]["refused_priority"] == 6
+    assert (by_name["b"]["in_flight"], by_name["b"]["limit"]) == (3, 4)
+    assert (by_name["a"]["is_cold"], by_name["a"]["is_draining"]) == (False, False)
+    assert by_name["a"]["refused_priority"] is None
--- a/knapweedlead/daemon/_composition.py
+++ b/knapweedlead/daemon/_composition.py
@@ -73,7 +73,6 @@
     )
     spreading = SPREADING.create(settings.configuration.spreading, rng=rng)
     configuration = ConfigurationRole(store_calls, membership, spreading, rng)
-    status = StatusRole(membership, configuration)
     bootstrap = BootstrapRole(membership, store_calls, rng)
     ownership = OwnershipRole(
         identity,
@@ -89,6 +88,7 @@
     )
     once = OnceRole(identity, membership, ownership, store_calls)
     guard = GuardRole(identity, backend_server, settings.admission, configuration, rng)
+    status = StatusRole(membership, configuration, lambda now: guard.load_report(now))
     routing = settings.routing
     router = Router(identity, membership, routing.balancer, routing.ejector, rng)
     retries = RetryPolicy(
--- a/knapweedlead/operators/_tables.py
+++ b/knapweedlead/operators/_tables.py
@@ -45,12 +45,14 @@
         f"revision {revision} in force on {current} of {len(members)} members",
         "states: " + ", ".join(f"{n} {state}" for state, n in sorted(states.items())),
     ]
-    columns = ["data_centre", "service", "name", "state", "revision", "notes"]
+    columns = ["data_centre", "service", "name", "state", "revision"]
+    columns += ["in_flight", "queued", "limit", "notes"]
     rows = ([*(m.get(c, "") for c in columns[:-1]), _notes(m)] for m in members)
     return "\n".join([*summary, "", render_table(columns, rows)])
 
 
 def _notes(member: dict[str, Any]) -> str:
     flags = [flag for flag in ("cold", "draining") if member.get(f"is_{flag}")]
-    refusing = member.get("refusing") or ""
-    return ", ".join([*flags, *([f"refusing: {refusing}"] if refusing else [])])
+    refused = member.get("refused_priority")
+    refusals = [] if refused is None else [f"refusing priority {refused} and up"]
+    return ", ".join([*flags, *refusals])
--- a/knapweedlead/operators/tests/test_tables.py
+++ b/knapweedlead/operators/tests/test_tables.py
@@ -15,10 +15,13 @@
 
 
 def test_status_says_on_how_many_members_the_revision_is_in_force():
-    members = [member("wear-1", 7), member("wear-2", 6, is_cold=True)]
+    members = [
+        member("wear-1", 7),
+        member("wear-2", 6, is_cold=True, refused_priority=6),
+    ]
     text = render_status({"revision": 7, "members": members})
     assert "revision 7 in force on 1 of 2 members" in text
-    assert "cold" in text.splitlines()[-1]
+    assert text.splitlines()[-1].endswith("cold, refusing priority 6 and up")
 
 
 def test_resources_of_one_kind_share_a_table():
