--- a/Makefile
+++ b/Makefile
@@ -25,4 +25,4 @@
 	$(RUN) -m standins.demo
 
 bench: setup
-	$(RUN) -m pytest benchmarks -q --hypothesis-seed=0
+	$(RUN) -m pytest benchmarks --hypothesis-seed=0 -o python_files="test_*.py bench_*.py"
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -114,7 +114,7 @@
 
 def apply_resources(fleet: Fleet, path: Path) -> None:
     """Apply a resource file through the operators' command line."""
-    done = fleet.operate("apply", f"--file={path}")
+    done = fleet.operate("apply", f"--file={path}", "--wait")
     if done.returncode:
         raise RuntimeError(f"apply failed: {done.stdout}{done.stderr}")
     wait_until_in_force(fleet)
