--- a/knapweedlead/operators/__init__.py
+++ b/knapweedlead/operators/__init__.py
@@ -2,6 +2,7 @@
 
 from knapweedlead.operators._api import OperatorApi
 from knapweedlead.operators._changes import ChangeFeed, ChangeRecord
+from knapweedlead.operators._resource_file import load_resources
 from knapweedlead.operators._role import CatalogueFeedRole, PublishCatalogue
 from knapweedlead.operators._tables import render_table
 
@@ -11,5 +12,6 @@
     "OperatorApi",
     "CatalogueFeedRole",
     "PublishCatalogue",
+    "load_resources",
     "render_table",
 ]
