--- a/knapweedlead/accounts/_owner.py
+++ b/knapweedlead/accounts/_owner.py
@@ -187,8 +187,6 @@
     def on_tick(self, now: float) -> Iterator[Effect]:
         """Answer the requests that have waited for recalled tokens."""
         for number, slot in self._slot_by_number.items():
-            if not any(slot.waiting_by_account.values()):
-                continue
             if self.ownership.owned(number, now) is None:
                 slot.waiting_by_account.clear()
                 continue
--- a/knapweedlead/ownership/_role.py
+++ b/knapweedlead/ownership/_role.py
@@ -65,9 +65,6 @@
 REFRESH_SECONDS_PER_MEMBER = 0.02
 """Seconds added by each member between two readings that entries ask for."""
 
-CHECK_SECONDS = 0.25
-"""Seconds between two looks at every slot."""
-
 
 class OwnershipRole(Role):
     """Owns slots, guards the slots of others, and knows who owns which.
@@ -111,7 +108,6 @@
         self._is_leaving = False
         self._next_list = 0.0
         self._next_heartbeat = 0.0
-        self._next_check = 0.0
         self._next_handover = 0.0
 
     def owned(self, slot: int, now: float) -> OwnedSlot | None:
@@ -164,11 +160,6 @@
         if now >= self._next_heartbeat:
             self._next_heartbeat = now + self.times.heartbeat_s
             yield from self._send_heartbeats(now)
-        if now >= self._next_check or self._is_leaving:
-            self._next_check = now + CHECK_SECONDS
-            yield from self._check_slots(now)
-
-    def _check_slots(self, now: float) -> Iterator[Effect]:
         for slot, owned in self.owned_by_slot.items():
             self._note_authority(slot, owned, now)
             if self._decisions.is_write_due(owned, now):
--- a/knapweedlead/requests/_once_role.py
+++ b/knapweedlead/requests/_once_role.py
@@ -49,7 +49,7 @@
     OnceVerdict,
     RecordState,
 )
-from knapweedlead.requests._once_owner import FORGET_PAUSE, OnceOwner
+from knapweedlead.requests._once_owner import OnceOwner
 from knapweedlead.requests._once_records import (
     ANSWERED,
     IN_PROGRESS,
@@ -112,7 +112,6 @@
         self.ownership = ownership
         self.backup = OnceBackup()
         self.owner = OnceOwner(ownership, membership, store_calls, self.backup)
-        self._next_forget = 0.0
         self._started_at: float | None = None
         self._claim_by_ticket: dict[int, _Asked] = {}
         self._settlement_by_ticket: dict[int, _Asked] = {}
@@ -221,9 +220,7 @@
                 del self._settlement_by_ticket[ticket]
         yield from self._resend(now)
         yield from self.owner.on_tick(now)
-        if now >= self._next_forget:
-            self._next_forget = now + FORGET_PAUSE
-            self.backup.forget(now)
+        self.backup.forget(now)
 
     def _resend(self, now: float) -> Iterator[Effect]:
         for asked in self._asked():
