--- a/knapweedlead/telemetry/_histogram.py
+++ b/knapweedlead/telemetry/_histogram.py
@@ -6,7 +6,7 @@
 
 from prometheus_client.core import HistogramMetricFamily, Metric
 
-from knapweedlead.telemetry._catalogue import MetricSpec
+from knapweedlead.telemetry._specs import MetricSpec
 
 BOUNDS_SECONDS = (
     *(0.001, 0.0025, 0.005, 0.01, 0.025, 0.05),
--- a/knapweedlead/telemetry/_metrics.py
+++ b/knapweedlead/telemetry/_metrics.py
@@ -21,12 +21,11 @@
 from knapweedlead.telemetry._catalogue import (
     MAX_LABEL_SETS,
     METRICS,
-    OVERFLOW,
     SPEC_BY_NAME,
-    MetricKind,
-    MetricSpec,
 )
+from knapweedlead.telemetry._counters import OVERFLOW
 from knapweedlead.telemetry._histogram import DurationHistogram, HistogramCollector
+from knapweedlead.telemetry._specs import MetricKind, MetricSpec
 
 Labels = tuple[tuple[str, str], ...]
 
--- a/knapweedlead/telemetry/tests/test_metrics.py
+++ b/knapweedlead/telemetry/tests/test_metrics.py
@@ -10,7 +10,8 @@
 from knapweedlead.node import Count, Observe
 from knapweedlead.requests import RefusalReason, RetryReason
 from knapweedlead.telemetry import METRICS, Metrics, Reading
-from knapweedlead.telemetry._catalogue import MAX_LABEL_SETS, OVERFLOW, SPEC_BY_NAME
+from knapweedlead.telemetry._catalogue import MAX_LABEL_SETS, SPEC_BY_NAME
+from knapweedlead.telemetry._counters import OVERFLOW
 
 PACKAGE = Path(knapweedlead.__file__).parent
 PAGE = PACKAGE.parent / "docs" / "METRICS.md"
