A suspect member is its service's last resort; ports of stand-ins below the ephemeral range

Ruled out: draining (the refusal says that no server was known at all). Change: members_of returns suspects where none is alive; the stand-ins take ports below the ephemeral range, in a block of their own for each test worker.

--- a/knapweedlead/membership/_role.py
+++ b/knapweedlead/membership/_role.py
@@ -143,8 +143,11 @@
         return is_only_one or now - self._heard_at <= CONTACT_SECONDS
 
     def members_of(self, service: str) -> list[Member]:
-        """Return the members of a service that may be sent work."""
-        return self.table.alive_of(service)
+        """Return the members of a service that may be sent work.
+
+        Suspect ones are a last resort: a suspicion may be false.
+        """
+        return self.table.alive_of(service) or self.table.suspects_of(service)
 
     def relays_of(self, data_centre: str, count: int) -> list[Member]:
         """Return the first `count` live members of a data centre, in a fixed order."""
--- a/knapweedlead/membership/_table.py
+++ b/knapweedlead/membership/_table.py
@@ -90,6 +90,14 @@
             del self._alive_by_service[member.service][name]
             self._listing_by_service.pop(member.service, None)
 
+    def suspects_of(self, service: str) -> list[Member]:
+        """Return the members of a service that are suspect."""
+        return [
+            member
+            for member in self.running_by_name.values()
+            if member.state == "suspect" and member.service == service
+        ]
+
     def alive_of(self, service: str) -> list[Member]:
         """Return the members of a service that are alive."""
         listing = self._listing_by_service.get(service)
--- a/knapweedlead/membership/tests/test_membership.py
+++ b/knapweedlead/membership/tests/test_membership.py
@@ -222,3 +222,18 @@
     assert len(cores.store.state.under("knapweedlead/seeds/")) <= 4
     cores.run_for(60.0)
     assert len(cores.store.state.under("knapweedlead/seeds/")) <= 4
+
+
+def test_suspect_member_is_the_last_resort_of_its_service():
+    cores = ControlCores(seed=5)
+    cores.add("front-1", "front")
+    cores.add("back-1", "back")
+    cores.run_for(5.0)
+    cores.pause("back-1")
+    membership = cores.by_name["front-1"].composition.membership
+    for _ in range(50):
+        cores.run_for(0.1)
+        if membership.by_name["back-1"].state == "suspect":
+            break
+    assert membership.by_name["back-1"].state == "suspect"
+    assert [m.name for m in membership.members_of("back")] == ["back-1"]
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -1,5 +1,6 @@
 """Starts a small fleet of real processes on loopback, for demos and tests."""
 
+import itertools
 import json
 import os
 import signal
@@ -19,16 +20,34 @@
 
 _ROOT = str(Path(__file__).resolve().parent.parent)
 
+PORTS_PER_BLOCK = 2000
+_LOWEST_PORT = 10_000
+_BLOCKS = 11
+
+_worker = os.environ.get("PYTEST_XDIST_WORKER", "gw10").removeprefix("gw")
+_FIRST_PORT = _LOWEST_PORT + int(_worker) % _BLOCKS * PORTS_PER_BLOCK
+_offsets = itertools.count(os.getpid() % PORTS_PER_BLOCK)
+
 START_TIMEOUT = 20.0
 """Seconds that a process may take until it listens."""
 _POLL_SECONDS = 0.05
 
 
 def free_address() -> str:
-    """Return an ``IP:PORT`` on loopback that nothing listens at."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return an ``IP:PORT`` on loopback that nothing listens at.
+
+    Ports lie below the range from which the system takes those of outgoing
+    connections, and each worker of a parallel test run has its own block.
+    """
+    for _ in range(PORTS_PER_BLOCK):
+        port = _FIRST_PORT + next(_offsets) % PORTS_PER_BLOCK
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return f"127.0.0.1:{port}"
+    raise RuntimeError("no free port")
 
 
 def wait_until_listening(address: str, process: subprocess.Popen[bytes]) -> None:
