--- a/benchmarks/ownership/_measure.py
+++ b/benchmarks/ownership/_measure.py
@@ -8,7 +8,7 @@
 from knapweedlead.node import Effect, SendMessage, StoreCall
 from knapweedlead.ownership import OwnershipTimes
 from knapweedlead.ownership.tests.fleets import SharedStateCores, fleet
-from knapweedlead.platform import CompareAndSwap, Get, List
+from knapweedlead.store import CompareAndSwap, Get, List
 from standins.cores import Core
 
 SLOT_MESSAGES = ("SlotHeartbeat", "SlotPromise")
--- a/benchmarks/ownership/_once.py
+++ b/benchmarks/ownership/_once.py
@@ -7,9 +7,9 @@
 from knapweedlead.messages import encode_message
 from knapweedlead.node import Effect, SendMessage, StoreCall
 from knapweedlead.ownership.tests.fleets import fleet
-from knapweedlead.platform import CompareAndSwap
 from knapweedlead.requests import OnceDecision
 from knapweedlead.requests.tests.claiming import ClaimingCores
+from knapweedlead.store import CompareAndSwap
 from standins.cores import Core
 
 CLAIMS = 200
--- a/knapweedlead/configuration/_operator_role.py
+++ b/knapweedlead/configuration/_operator_role.py
@@ -41,7 +41,7 @@
     WakeAt,
     handles,
 )
-from knapweedlead.platform import Entry, StoreOperation
+from knapweedlead.store import Entry, StoreOperation
 
 CHANGE_SECONDS = 5.0
 """Seconds for which a change is tried while the store cannot be reached."""
--- a/knapweedlead/configuration/_pending_change.py
+++ b/knapweedlead/configuration/_pending_change.py
@@ -22,7 +22,7 @@
 )
 from knapweedlead.configuration._resources import KINDS
 from knapweedlead.errors import StoreError, StoreFault
-from knapweedlead.platform import CompareAndSwap, Entry, Get, StoreOperation
+from knapweedlead.store import CompareAndSwap, Entry, Get, StoreOperation
 
 CATALOGUE_KEY = "knapweedlead/catalogue"
 
--- a/knapweedlead/configuration/_role.py
+++ b/knapweedlead/configuration/_role.py
@@ -38,7 +38,7 @@
     handles,
     handles_message,
 )
-from knapweedlead.platform import Entry
+from knapweedlead.store import Entry
 
 CUT_OFF_SECONDS = 3.0
 """Seconds without the store after which a relay asks other data centres."""
--- a/knapweedlead/configuration/_store_watch.py
+++ b/knapweedlead/configuration/_store_watch.py
@@ -7,7 +7,7 @@
 
 from knapweedlead.configuration._pending_change import CATALOGUE_KEY
 from knapweedlead.errors import StoreError, StoreFault
-from knapweedlead.platform import Entry, Get, StoreOperation, StoreResult, Watch
+from knapweedlead.store import Entry, Get, StoreOperation, StoreResult, Watch
 
 WATCH_SECONDS = 1.0
 """Seconds for which a watch waits."""
--- a/knapweedlead/daemon/_shell.py
+++ b/knapweedlead/daemon/_shell.py
@@ -39,9 +39,9 @@
     Tick,
     WakeAt,
 )
-from knapweedlead.platform import HttpStore
 from knapweedlead.requests import RefusalReason
 from knapweedlead.settings import DaemonSettings
+from knapweedlead.store import HttpStore
 from knapweedlead.telemetry import Metrics, get_logger
 from knapweedlead.transport import (
     BackendServerClient,
--- a/knapweedlead/membership/_bootstrap.py
+++ b/knapweedlead/membership/_bootstrap.py
@@ -28,7 +28,7 @@
     Tick,
     handles,
 )
-from knapweedlead.platform import List, Listing
+from knapweedlead.store import List, Listing
 
 SEEDS_ASKED = 3
 """Seeds that a starting daemon asks for their tables."""
--- a/knapweedlead/membership/_seeds.py
+++ b/knapweedlead/membership/_seeds.py
@@ -6,7 +6,7 @@
 import attrs
 
 from knapweedlead.membership._member import Member
-from knapweedlead.platform import CompareAndSwap, Entry, Listing
+from knapweedlead.store import CompareAndSwap, Entry, Listing
 
 SEEDS_PREFIX = "knapweedlead/seeds/"
 
--- a/knapweedlead/node/_effects.py
+++ b/knapweedlead/node/_effects.py
@@ -6,7 +6,7 @@
 
 from knapweedlead.messages import Message
 from knapweedlead.node._events import Event
-from knapweedlead.platform import StoreOperation
+from knapweedlead.store import StoreOperation
 
 
 @attrs.frozen
--- a/knapweedlead/node/_events.py
+++ b/knapweedlead/node/_events.py
@@ -7,7 +7,7 @@
 
 from knapweedlead.errors import StoreError
 from knapweedlead.messages import Message
-from knapweedlead.platform import StoreResult
+from knapweedlead.store import StoreResult
 
 
 @attrs.frozen
--- a/knapweedlead/ownership/_role.py
+++ b/knapweedlead/ownership/_role.py
@@ -54,8 +54,8 @@
     SlotWrite,
     WriteKind,
 )
-from knapweedlead.platform import Entry, Listing
 from knapweedlead.statecharts import Statechart
+from knapweedlead.store import Entry, Listing
 
 SLOT_CHART = Statechart.load("knapweedlead.ownership", "slot.json")
 
--- a/knapweedlead/ownership/_slot_store.py
+++ b/knapweedlead/ownership/_slot_store.py
@@ -5,7 +5,7 @@
 from knapweedlead.node import Effect, StoreCall, StoreCalls
 from knapweedlead.ownership._record import SLOTS_PREFIX, encode_record, key_of
 from knapweedlead.ownership._writes import SlotWrite
-from knapweedlead.platform import CompareAndSwap, Get, List
+from knapweedlead.store import CompareAndSwap, Get, List
 
 RETRY_SECONDS = 0.5
 """Seconds between two readings of one slot."""
--- a/knapweedlead/requests/_once_owner.py
+++ b/knapweedlead/requests/_once_owner.py
@@ -17,7 +17,6 @@
     StoreCalls,
 )
 from knapweedlead.ownership import OwnershipRole, SlotAcquired
-from knapweedlead.platform import CompareAndSwap, Delete, Entry, Get
 from knapweedlead.requests._once import OnceDecision
 from knapweedlead.requests._once_backup import OnceBackup
 from knapweedlead.requests._once_copies import CopiesUnderWay
@@ -39,6 +38,7 @@
     Records,
     record_key,
 )
+from knapweedlead.store import CompareAndSwap, Delete, Entry, Get
 
 ONCE_PREFIX = "knapweedlead/once/"
 
--- a/knapweedlead/platform/__init__.py
+++ b/knapweedlead/store/__init__.py
@@ -5,8 +5,8 @@
 blocking queries as watches.
 """
 
-from knapweedlead.platform._http_store import HttpStore
-from knapweedlead.platform._port import (
+from knapweedlead.store._http_store import HttpStore
+from knapweedlead.store._port import (
     CompareAndSwap,
     CreateLease,
     Delete,
--- a/knapweedlead/platform/_http_store.py
+++ b/knapweedlead/store/_http_store.py
@@ -18,7 +18,7 @@
 from result import Err, Ok, Result
 
 from knapweedlead.errors import StoreError, StoreFault
-from knapweedlead.platform._port import (
+from knapweedlead.store._port import (
     CompareAndSwap,
     CreateLease,
     Delete,
--- a/knapweedlead/platform/tests/test_lost_connections.py
+++ b/knapweedlead/store/tests/test_lost_connections.py
@@ -6,7 +6,7 @@
 from result import Err
 
 from knapweedlead.errors import StoreFault
-from knapweedlead.platform import CompareAndSwap, Get, HttpStore
+from knapweedlead.store import CompareAndSwap, Get, HttpStore
 
 TIMEOUT = 5.0
 
--- a/knapweedlead/platform/tests/test_store_faults.py
+++ b/knapweedlead/store/tests/test_store_faults.py
@@ -7,7 +7,7 @@
 from result import Err, Ok
 
 from knapweedlead.errors import StoreFault
-from knapweedlead.platform import (
+from knapweedlead.store import (
     CompareAndSwap,
     CreateLease,
     Delete,
--- a/knapweedlead/telemetry/_labels.py
+++ b/knapweedlead/telemetry/_labels.py
@@ -1,8 +1,8 @@
 """Closed lists of the values of the metrics' labels."""
 
 from knapweedlead.ownership import Takeover
-from knapweedlead.platform import StoreOperation
 from knapweedlead.requests import RefusalReason, RetryReason
+from knapweedlead.store import StoreOperation
 from knapweedlead.telemetry._specs import LabelSpec
 
 REFUSAL_REASON = LabelSpec("reason", tuple(reason.value for reason in RefusalReason))
--- a/standins/chains.py
+++ b/standins/chains.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from knapweedlead.platform import CompareAndSwap
+from knapweedlead.store import CompareAndSwap
 from standins.cores import CallerReply, CoreBackendServer, Cores
 
 KEY = "key-of-the-chain"
--- a/standins/core_store.py
+++ b/standins/core_store.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from knapweedlead.errors import StoreError, StoreFault
-from knapweedlead.platform import (
+from knapweedlead.store import (
     CompareAndSwap,
     CreateLease,
     Delete,
