--- a/benchmarks/cost/_load.py
+++ b/benchmarks/cost/_load.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from knapweedlead.transport import BackendServerClient
+from knapweedlead.http import BackendServerClient
 
 MAX_CONNECTIONS = 512
 TIMEOUT_SECONDS = 5.0
--- a/benchmarks/cost/doors.py
+++ b/benchmarks/cost/doors.py
@@ -18,7 +18,7 @@
 from benchmarks.cost._load import PathResult, Target, run_load
 from benchmarks.cost.backend import BODY
 from benchmarks.processes import processor_seconds
-from knapweedlead.transport import CallerServer, HttpRequest, split_address
+from knapweedlead.http import CallerServer, HttpRequest, split_address
 from standins.fleet import free_address, wait_until_listening
 
 DOORS = ("blacksheep", "httptools")
--- a/benchmarks/cost/relay.py
+++ b/benchmarks/cost/relay.py
@@ -5,7 +5,7 @@
 import fire
 import uvloop
 
-from knapweedlead.transport import split_address
+from knapweedlead.http import split_address
 
 
 class _Onward(asyncio.Protocol):
--- a/knapweedlead/daemon/_shell.py
+++ b/knapweedlead/daemon/_shell.py
@@ -11,6 +11,7 @@
 from knapweedlead.calls import problem_reply
 from knapweedlead.daemon._composition import Composition
 from knapweedlead.daemon._readings import readings_of
+from knapweedlead.http import BackendServerClient, CallerServer, HttpRequest
 from knapweedlead.messages import Message
 from knapweedlead.node import (
     CallerGone,
@@ -43,12 +44,7 @@
 from knapweedlead.settings import DaemonSettings
 from knapweedlead.store import HttpStore
 from knapweedlead.telemetry import Metrics, get_logger
-from knapweedlead.transport import (
-    BackendServerClient,
-    CallerServer,
-    HttpRequest,
-    LinkTable,
-)
+from knapweedlead.transport import LinkTable
 
 TICK_SECONDS = 0.1
 
--- /dev/null
+++ b/knapweedlead/http/__init__.py
@@ -0,0 +1,16 @@
+"""HTTP/1.1 towards callers and backend servers."""
+
+from knapweedlead.http._addresses import split_address
+from knapweedlead.http._caller import HttpLimits
+from knapweedlead.http._client import BackendServerClient
+from knapweedlead.http._run import HttpAnswer
+from knapweedlead.http._server import CallerServer, HttpRequest
+
+__all__ = [
+    "BackendServerClient",
+    "CallerServer",
+    "HttpAnswer",
+    "HttpLimits",
+    "HttpRequest",
+    "split_address",
+]
--- a/knapweedlead/transport/_http_caller.py
+++ b/knapweedlead/http/_caller.py
@@ -4,23 +4,41 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
+import attrs
 import httptools
 
-from knapweedlead.transport._http_headers import add_header, response_bytes
+from knapweedlead.http._headers import add_header, response_bytes
 
 if TYPE_CHECKING:
-    from knapweedlead.transport._http_server import CallerServer
+    from knapweedlead.http._server import CallerServer
 
-MAX_HEADER_BYTES = 32 * 1024
-MAX_BODY_BYTES = 4 * 1024 * 1024
 MAX_PIPELINED = 16
 """Whole requests that wait on a connection before reading stops."""
-REQUEST_SECONDS = 30.0
-"""Seconds from the first byte of a request to its last."""
-IDLE_SECONDS = 75.0
-"""Seconds that a connection may stay without a request, or with unread answers."""
 
-_MAX_FRAMED_BODY_BYTES = 2 * MAX_BODY_BYTES
+_MAX_FRAMING_FACTOR = 2
+"""Bytes of a chunked body, with its framing, relative to the body alone."""
+
+
+@attrs.frozen
+class HttpLimits:
+    """Bounds on what a caller may send.
+
+    Parameters
+    ----------
+    max_header_bytes, max_body_bytes : int
+        Sizes.
+    request_time : float
+        Seconds from the first byte of a request to its last.
+    idle_time : float
+        Seconds that a connection may stay without a request, or with unread
+        answers.
+    """
+
+    max_header_bytes: int = 32 * 1024
+    max_body_bytes: int = 4 * 1024 * 1024
+    request_time: float = 30.0
+    idle_time: float = 75.0
+
 
 ParsedRequest = tuple[str, str, dict[str, str], bytes]
 """Method, path, headers and body."""
@@ -109,7 +127,10 @@
     def _check_framing(self, received: int) -> None:
         """Bound what the parser takes in without handing it on."""
         self._framed_size += received
-        limit = MAX_HEADER_BYTES if self._is_in_head else _MAX_FRAMED_BODY_BYTES
+        limits = self.server.limits
+        limit = limits.max_header_bytes
+        if not self._is_in_head:
+            limit = _MAX_FRAMING_FACTOR * limits.max_body_bytes
         if self._framed_size > limit + received:
             self._refuse("request_too_large")
 
@@ -120,11 +141,11 @@
     def on_url(self, url: bytes) -> None:
         """Keep a part of the request's target."""
         self._url += url
-        self._check_size(len(url), MAX_HEADER_BYTES)
+        self._check_size(len(url), self.server.limits.max_header_bytes)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep a header; trailers are dropped."""
-        self._check_size(len(name) + len(value), MAX_HEADER_BYTES)
+        self._check_size(len(name) + len(value), self.server.limits.max_header_bytes)
         if self._is_in_head:
             add_header(self._headers, name, value)
 
@@ -140,7 +161,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Keep a part of the body."""
-        self._check_size(len(body), MAX_BODY_BYTES)
+        self._check_size(len(body), self.server.limits.max_body_bytes)
         self._body.append(body)
 
     def on_message_complete(self) -> None:
@@ -205,10 +226,14 @@
     def check_timeouts(self, now: float) -> None:
         """Refuse a request that stalls, and close a connection that idles."""
         began_at = self._request_began_at
-        if began_at and now - began_at > REQUEST_SECONDS and not self._refusal:
+        if (
+            began_at
+            and now - began_at > self.server.limits.request_time
+            and not self._refusal
+        ):
             self._refuse("malformed_request")
         is_idle = not self.exchange and not (self._waiting and self._can_write)
-        if is_idle and now - self._active_at > IDLE_SECONDS:
+        if is_idle and now - self._active_at > self.server.limits.idle_time:
             self.transport.abort()
 
     def pause_writing(self) -> None:
--- a/knapweedlead/transport/_http_client.py
+++ b/knapweedlead/http/_client.py
@@ -4,12 +4,16 @@
 import itertools
 from collections.abc import Callable
 
-from knapweedlead.transport._addresses import split_address
-from knapweedlead.transport._http_headers import request_bytes
-from knapweedlead.transport._http_run import HttpAnswer, RunProtocol
+from knapweedlead.http._addresses import split_address
+from knapweedlead.http._headers import request_bytes
+from knapweedlead.http._run import HttpAnswer, RunProtocol
 
 MAX_IDLE_SECONDS = 4.0
 """Age up to which an idle connection is used again; servers close them later."""
+IDLE_SHARE = 0.7
+"""Part of the idle time that a server states for which a connection is used again."""
+CONNECT_TIMEOUT = 1.0
+"""Seconds for opening a connection; callers allow as much."""
 
 
 class BackendServerClient:
@@ -25,6 +29,17 @@
         Takes run and `HttpAnswer`.
     on_failure : callable
         Takes run, whether any byte was written, and a detail.
+    echo_header : str
+        Lower-case name of the header in which answers name their request.
+    accepts_unframed : bool
+        Whether an answer may end with its connection.
+
+    Attributes
+    ----------
+    passed_over : int
+        Answers to other requests than the one under way.
+    opened : int
+        Connections opened.
     """
 
     def __init__(
@@ -33,7 +48,13 @@
         max_connections: int,
         on_answer: Callable[[int, HttpAnswer], None],
         on_failure: Callable[[int, bool, str], None],
+        echo_header: str = "",
+        accepts_unframed: bool = False,
     ) -> None:
+        self.echo_header = echo_header
+        self.accepts_unframed = accepts_unframed
+        self.passed_over = 0
+        self.opened = 0
         self.address = address
         self.max_connections = max_connections
         self.on_answer = on_answer
@@ -73,35 +94,51 @@
             Seconds for connecting and for the answer.
         """
         data = request_bytes(self.address, method, path, headers, body)
+        self.send(run, data, method == "HEAD", timeout)
+
+    def send(
+        self, run: int, data: bytes, is_head: bool, timeout: float, echo: str = ""
+    ) -> None:
+        """Send a request in whole; `on_answer` or `on_failure` follows.
+
+        Parameters
+        ----------
+        run : int
+            Number of the run.
+        data : bytes
+            Request line, headers and body.
+        is_head : bool
+            Whether the answer has no body.
+        timeout : float
+            Seconds for connecting and for the answer.
+        echo : str
+            What the answer's echo header must hold; empty where any answer will do.
+        """
         protocol = self._take_idle()
         if protocol is not None:
-            self._begin(protocol, run, method, data, timeout)
+            self._protocol_by_run[run] = protocol
+            protocol.begin(run, is_head, data, timeout, echo)
             return
         if self._open >= self.max_connections:
             self.on_failure(run, False, "connection limit")
             return
         self._open += 1
-        task = asyncio.ensure_future(self._connect(timeout))
+        task = asyncio.ensure_future(self._connect(min(timeout, CONNECT_TIMEOUT)))
         self._task_by_run[run] = task
         task.add_done_callback(
-            lambda done: self._connected(done, run, method, data, timeout)
+            lambda done: self._connected(done, run, is_head, data, timeout, echo)
         )
 
     def _take_idle(self) -> RunProtocol | None:
-        oldest = asyncio.get_running_loop().time() - MAX_IDLE_SECONDS
+        now = asyncio.get_running_loop().time()
         while self._idle:
             protocol = self._idle.pop()
-            if protocol.idle_since >= oldest and not protocol.is_lost:
+            limit = protocol.idle_limit * IDLE_SHARE or MAX_IDLE_SECONDS
+            if now - protocol.idle_since <= limit and not protocol.is_lost:
                 return protocol
             protocol.abort("idle")
         return None
 
-    def _begin(
-        self, protocol: RunProtocol, run: int, method: str, data: bytes, timeout: float
-    ) -> None:
-        self._protocol_by_run[run] = protocol
-        protocol.begin(run, method == "HEAD", data, timeout)
-
     async def _connect(self, timeout: float) -> RunProtocol:
         host, port = split_address(self.address)
         loop = asyncio.get_running_loop()
@@ -115,9 +152,10 @@
         self,
         task: asyncio.Task[RunProtocol],
         run: int,
-        method: str,
+        is_head: bool,
         data: bytes,
         timeout: float,
+        echo: str,
     ) -> None:
         self._task_by_run.pop(run, None)
         if task.cancelled() or task.exception() is not None:
@@ -125,7 +163,10 @@
             detail = "cancelled" if task.cancelled() else repr(task.exception())
             self.on_failure(run, False, detail)
             return
-        self._begin(task.result(), run, method, data, timeout)
+        self.opened += 1
+        protocol = task.result()
+        self._protocol_by_run[run] = protocol
+        protocol.begin(run, is_head, data, timeout, echo)
 
     def cancel(self, run: int) -> None:
         """Close the connection of a run, or give up opening it."""
--- a/knapweedlead/transport/_http_run.py
+++ b/knapweedlead/http/_run.py
@@ -6,15 +6,16 @@
 import attrs
 import httptools
 
-from knapweedlead.transport._http_headers import add_header
+from knapweedlead.http._headers import add_header
 
 if TYPE_CHECKING:
-    from knapweedlead.transport._http_client import BackendServerClient
+    from knapweedlead.http._client import BackendServerClient
 
 MAX_ANSWER_BYTES = 6 * 1024 * 1024
 """Size of an answer with its headers, below that of a message on a link."""
 
 _FIRST_FINAL_STATUS = 200
+_STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
 @attrs.frozen
@@ -29,8 +30,12 @@
 class RunProtocol(asyncio.Protocol):
     """Writes a request and collects its answer.
 
-    An answer without a length, which ends with the connection, cannot be told
-    from a cut one and counts as failed.
+    An answer without a length ends with the connection. It is whole where the
+    client accepts such answers and the other side closed in order; otherwise it
+    counts as cut.
+
+    Where a run names its request, answers that name another one are passed over:
+    they are late answers to earlier requests on the connection.
 
     Parameters
     ----------
@@ -43,6 +48,9 @@
         Whether the connection takes no further run.
     idle_since : float
         Time on the loop's clock at which the last run ended, in seconds.
+    idle_limit : float
+        Seconds for which the other side keeps an idle connection; 0 where it does
+        not say.
     """
 
     def __init__(self, client: "BackendServerClient") -> None:
@@ -51,7 +59,9 @@
         self.parser = httptools.HttpResponseParser(self)
         self.is_lost = False
         self.idle_since = 0.0
+        self.idle_limit = 0.0
         self.run = 0
+        self._echo = ""
         self._is_head = False
         self._detail = "connection lost"
         self._timer: asyncio.TimerHandle | None = None
@@ -64,16 +74,34 @@
         self._status = 0
         self._is_kept = True
         self._is_whole = False
+        self._is_unframed = False
         self._has_excess = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
         self.transport = transport  # type: ignore[assignment]
 
-    def begin(self, run: int, is_head: bool, data: bytes, timeout: float) -> None:
-        """Write the request of a run."""
+    def begin(
+        self, run: int, is_head: bool, data: bytes, timeout: float, echo: str = ""
+    ) -> None:
+        """Write the request of a run.
+
+        Parameters
+        ----------
+        run : int
+            Number of the run.
+        is_head : bool
+            Whether the answer has no body.
+        data : bytes
+            The whole request.
+        timeout : float
+            Seconds until the run is given up.
+        echo : str
+            What the answer's echo header must hold; empty where any answer will do.
+        """
         self._reset()
         self.run = run
+        self._echo = echo
         self._is_head = is_head
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(timeout, self.abort, "timeout")
@@ -123,6 +151,7 @@
             self._headers = {}
             return
         self._status = status
+        self._is_unframed = _is_unframed(status, self._headers) and not self._is_head
         self._is_kept = self.parser.should_keep_alive()
         if self._is_head:
             self._is_kept = False
@@ -134,13 +163,29 @@
             self._body.append(body)
 
     def on_message_complete(self) -> None:
-        """Note the end of the final answer."""
-        if self._status:
+        """Note the end of the final answer, or pass over one to another request."""
+        if self._status and self._is_other():
+            self.client.passed_over += 1
+            self._reset()
+        elif self._status:
             self._is_whole = True
 
+    def _is_other(self) -> bool:
+        echoed = self._headers.get(self.client.echo_header)
+        return bool(self._echo) and echoed is not None and echoed != self._echo
+
+    def eof_received(self) -> None:
+        """End an answer that has no length."""
+        can_end = self._is_unframed and self.client.accepts_unframed
+        if self.run and can_end and not self._is_whole and not self._is_other():
+            self._is_whole = True
+            self._is_kept = False
+            self._end()
+
     def _end(self) -> None:
         run, self.run = self.run, 0
         self._cancel_timer()
+        self.idle_limit = _idle_limit(self._headers)
         answer = HttpAnswer(self._status, self._headers, b"".join(self._body))
         if self._has_excess or not self._is_kept:
             self.abort("closed")
@@ -157,3 +202,17 @@
     def _cancel_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
+
+
+def _is_unframed(status: int, headers: dict[str, str]) -> bool:
+    has_length = "content-length" in headers or "transfer-encoding" in headers
+    return not has_length and status not in _STATUSES_WITHOUT_BODY
+
+
+def _idle_limit(headers: dict[str, str]) -> float:
+    """Return the seconds that a ``Keep-Alive`` header states; 0 for none."""
+    for part in headers.get("keep-alive", "").split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.isdigit():
+            return float(value)
+    return 0.0
--- a/knapweedlead/transport/_http_server.py
+++ b/knapweedlead/http/_server.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from knapweedlead.transport._addresses import split_address
-from knapweedlead.transport._http_caller import CallerProtocol, ParsedRequest
+from knapweedlead.http._addresses import split_address
+from knapweedlead.http._caller import CallerProtocol, HttpLimits, ParsedRequest
 
 MAX_CALLER_CONNECTIONS = 8192
 
@@ -55,6 +55,8 @@
         ``overloaded``, and returns status, headers and body of the refusal.
     max_connections : int
         Connections beyond which a new one is refused as overloaded.
+    limits : HttpLimits or None
+        Bounds on requests; may be replaced at any time.
     """
 
     def __init__(
@@ -63,7 +65,9 @@
         on_gone: Callable[[int], None],
         on_bad_input: Callable[[str], tuple[int, dict[str, str], bytes]],
         max_connections: int = MAX_CALLER_CONNECTIONS,
+        limits: HttpLimits | None = None,
     ) -> None:
+        self.limits = limits or HttpLimits()
         self.on_request = on_request
         self.on_gone = on_gone
         self.on_bad_input = on_bad_input
--- a/knapweedlead/transport/tests/test_http_client.py
+++ b/knapweedlead/http/tests/test_http_client.py
@@ -6,8 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from knapweedlead.transport import BackendServerClient
-from knapweedlead.transport._http_run import MAX_ANSWER_BYTES
+from knapweedlead.http import BackendServerClient
+from knapweedlead.http._run import MAX_ANSWER_BYTES
 from knapweedlead.transport.tests.links import until
 from standins.fleet import free_address
 
@@ -149,8 +149,8 @@
 
 @given(st.lists(st.integers(1, 30), max_size=8))
 def test_answer_split_anywhere_is_whole(sizes):
-    from knapweedlead.transport._http_run import RunProtocol
-    from knapweedlead.transport.tests.wires import FakeTransport
+    from knapweedlead.http._run import RunProtocol
+    from knapweedlead.http.tests.wires import FakeTransport
 
     async def run():
         answers = {}
--- a/knapweedlead/transport/tests/test_http_server.py
+++ b/knapweedlead/http/tests/test_http_server.py
@@ -6,9 +6,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from knapweedlead.transport import _http_caller
-from knapweedlead.transport._http_caller import CallerProtocol
-from knapweedlead.transport.tests.wires import FakeTransport, RecordingServer
+from knapweedlead.http import HttpLimits
+from knapweedlead.http._caller import CallerProtocol
+from knapweedlead.http.tests.wires import FakeTransport, RecordingServer
 
 GET = b"GET /a HTTP/1.1\r\nhost: x\r\n\r\n"
 
@@ -102,12 +102,12 @@
     idle, idle_transport = connect(server)
     stalled.data_received(GET[:10])
     now = asyncio.get_running_loop().time()
-    stalled.check_timeouts(now + _http_caller.REQUEST_SECONDS + 1)
-    idle.check_timeouts(now + _http_caller.REQUEST_SECONDS + 1)
+    stalled.check_timeouts(now + HttpLimits().request_time + 1)
+    idle.check_timeouts(now + HttpLimits().request_time + 1)
     assert server.bad == ["malformed_request"]
     assert stalled_transport.is_closed
     assert not idle_transport.is_closed
-    idle.check_timeouts(now + _http_caller.IDLE_SECONDS + 1)
+    idle.check_timeouts(now + HttpLimits().idle_time + 1)
     assert idle_transport.is_closed
 
 
@@ -116,7 +116,7 @@
     protocol, transport = connect(server)
     protocol.data_received(GET)
     now = asyncio.get_running_loop().time()
-    protocol.check_timeouts(now + _http_caller.IDLE_SECONDS + 1)
+    protocol.check_timeouts(now + HttpLimits().idle_time + 1)
     assert not transport.is_closed
 
 
--- a/knapweedlead/transport/tests/wires.py
+++ b/knapweedlead/http/tests/wires.py
@@ -1,6 +1,6 @@
 """Fake transport and servers for the HTTP protocols."""
 
-from knapweedlead.transport import CallerServer
+from knapweedlead.http import CallerServer
 
 
 class FakeTransport:
--- a/knapweedlead/load/_generator.py
+++ b/knapweedlead/load/_generator.py
@@ -10,6 +10,7 @@
 import attrs
 
 from knapweedlead.calls import AUTHORIZATION, DEADLINE, IDEMPOTENCY_KEY
+from knapweedlead.http import BackendServerClient
 from knapweedlead.load._keys import make_idempotency_key
 from knapweedlead.load._plan import LoadPlan, StreamPlan
 from knapweedlead.load._records import (
@@ -18,7 +19,6 @@
     OUTCOME_NOT_SENT,
     CallRecord,
 )
-from knapweedlead.transport import BackendServerClient
 
 MAX_CONNECTIONS_PER_TARGET = 4000
 
--- /dev/null
+++ b/knapweedlead/mesh/__init__.py
@@ -0,0 +1,62 @@
+"""Decisions of a daemon that serves calls together with others of its fleet.
+
+Nothing in here does I/O or reads a clock: the present time is an argument.
+"""
+
+from knapweedlead.mesh._calls import Call, Failure, Reason, ServerAnswer
+from knapweedlead.mesh._cold_gate import ColdGate
+from knapweedlead.mesh._configuration import (
+    ClientAccount,
+    MeshConfiguration,
+    RequestLimits,
+    Route,
+    Service,
+    WeightedService,
+)
+from knapweedlead.mesh._entry import Entry, EntryCall, EntrySettings
+from knapweedlead.mesh._freshness import Freshness
+from knapweedlead.mesh._guard import Guard, ServerState, Ticket
+from knapweedlead.mesh._operator_state import OperatorState
+from knapweedlead.mesh._placement import PLACEMENTS, Target
+from knapweedlead.mesh._quotas import QuotaShares
+from knapweedlead.mesh._repeats import RepeatBudget
+from knapweedlead.mesh._reports import BackendServer, ServerReport
+from knapweedlead.mesh._roster import Member, Roster
+from knapweedlead.mesh._settings import MeshSettings
+from knapweedlead.mesh._store import Change, Item, LeaseGrant, Listing, StorePurpose
+
+__all__ = [
+    "PLACEMENTS",
+    "BackendServer",
+    "Call",
+    "ClientAccount",
+    "ColdGate",
+    "Entry",
+    "EntryCall",
+    "EntrySettings",
+    "Failure",
+    "Freshness",
+    "Guard",
+    "MeshConfiguration",
+    "MeshSettings",
+    "QuotaShares",
+    "Reason",
+    "RepeatBudget",
+    "RequestLimits",
+    "Route",
+    "ServerAnswer",
+    "ServerReport",
+    "ServerState",
+    "Service",
+    "Target",
+    "Ticket",
+    "Change",
+    "Item",
+    "LeaseGrant",
+    "Listing",
+    "Member",
+    "OperatorState",
+    "Roster",
+    "StorePurpose",
+    "WeightedService",
+]
--- /dev/null
+++ b/knapweedlead/mesh/_configuration.py
@@ -0,0 +1,162 @@
+"""Configuration of a fleet: services, routes and client accounts."""
+
+import random
+
+import attrs
+
+
+@attrs.frozen
+class WeightedService:
+    """A service that takes a share of a route's calls."""
+
+    service: str
+    weight: float
+
+
+@attrs.frozen
+class Route:
+    """Where the calls under a path prefix of a host go, and how they are treated.
+
+    Parameters
+    ----------
+    name, host, prefix : str
+        The prefix begins and ends with a slash.
+    services : tuple of WeightedService
+        At least one.
+    is_idempotent : bool
+        Whether a call may run more than once.
+    timeout : float
+        Seconds after which the caller gets an answer at the latest.
+    target_latency : float
+        Seconds within which an answer has its full value to the caller.
+    priority : int
+        0 is the most important.
+    max_attempts : int
+        Backend servers to which one call may be sent.
+    is_public : bool
+        Whether calls need no key.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    services: tuple[WeightedService, ...]
+    is_idempotent: bool
+    timeout: float
+    target_latency: float
+    priority: int
+    max_attempts: int
+    is_public: bool
+
+    def choose_service(self, rng: random.Random) -> str:
+        """Return a service, each in proportion to its weight."""
+        if len(self.services) == 1:
+            return self.services[0].service
+        weights = [part.weight for part in self.services]
+        return rng.choices(self.services, weights)[0].service
+
+
+@attrs.frozen
+class Service:
+    """What holds for all backend servers of a service.
+
+    Parameters
+    ----------
+    name, health_path : str
+    max_connections : int
+        Connections that one backend server accepts.
+    cold_start : float
+        Seconds for which a backend server stays cold after its start.
+    cold_rate : float
+        Calls a second that a cold backend server bears.
+    """
+
+    name: str
+    health_path: str
+    max_connections: int
+    cold_start: float
+    cold_rate: float
+
+
+@attrs.frozen
+class ClientAccount:
+    """Whom a key belongs to.
+
+    Parameters
+    ----------
+    name : str
+    keys : tuple of str
+    priority : int or None
+        Goes before the route's priority.
+    rate, burst : float
+        Calls a second and calls at once over the whole fleet; a rate of 0 is
+        no limit.
+    """
+
+    name: str
+    keys: tuple[str, ...]
+    priority: int | None
+    rate: float
+    burst: float
+
+
+@attrs.frozen
+class RequestLimits:
+    """Bounds on what callers send; bytes and seconds."""
+
+    max_header_bytes: int = 32 * 1024
+    max_body_bytes: int = 64 * 1024 * 1024
+    header_timeout: float = 30.0
+    idle_timeout: float = 75.0
+
+
+@attrs.frozen
+class MeshConfiguration:
+    """One version of the configuration.
+
+    Parameters
+    ----------
+    version : int
+        Rises with each change.
+    routes : tuple of Route
+    service_by_name : dict of str to Service
+    account_by_name : dict of str to ClientAccount
+    limits : RequestLimits
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    service_by_name: dict[str, Service]
+    account_by_name: dict[str, ClientAccount]
+    limits: RequestLimits
+    account_by_key: dict[str, ClientAccount] = attrs.field(init=False, repr=False)
+    _routes_by_host: dict[str, dict[str, Route]] = attrs.field(init=False, repr=False)
+
+    @account_by_key.default
+    def _index_keys(self) -> dict[str, ClientAccount]:
+        accounts = self.account_by_name.values()
+        return {key: account for account in accounts for key in account.keys}
+
+    @_routes_by_host.default
+    def _index_routes(self) -> dict[str, dict[str, Route]]:
+        by_host: dict[str, dict[str, Route]] = {}
+        for route in self.routes:
+            by_host.setdefault(route.host, {})[route.prefix] = route
+        return by_host
+
+    @property
+    def needs_keys(self) -> bool:
+        """Whether calls on routes that are not public need a key."""
+        return bool(self.account_by_name)
+
+    def route_of(self, host: str, path: str) -> Route | None:
+        """Return the route of a host with the longest prefix of a path."""
+        by_prefix = self._routes_by_host.get(host)
+        if by_prefix is None:
+            return None
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = by_prefix.get(path[: end + 1])
+            if route is not None:
+                return route
+        return None
--- /dev/null
+++ b/knapweedlead/mesh/_entry.py
@@ -0,0 +1,338 @@
+"""Entry: takes calls of callers and of the own backend server, and has them run."""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import attrs
+
+from knapweedlead.mesh._calls import Call, Failure, Reason, ServerAnswer
+from knapweedlead.mesh._configuration import ClientAccount, MeshConfiguration, Route
+from knapweedlead.mesh._freshness import Freshness
+from knapweedlead.mesh._placement import Placement, Target
+from knapweedlead.mesh._quotas import QuotaShares
+from knapweedlead.mesh._repeats import RepeatBudget
+
+MAX_REROUTES = 3
+"""Other servers that are asked after a guard refused a call, which costs no
+server anything."""
+MIN_REMAINING = 0.005
+"""Seconds below which another attempt cannot end in time."""
+DEFAULT_RETRY_AFTER = 0.3
+"""Seconds told to callers where no better figure is known; about the time in which
+queues of a full service drain."""
+FAILURE_STATUS = 500
+"""Status of a server's own failure, which another server may not share."""
+
+_STATUS_BY_REASON = {
+    Reason.MALFORMED: 400,
+    Reason.UNKNOWN_ROUTE: 404,
+    Reason.INVALID_KEY: 401,
+    Reason.RATE_EXCEEDED: 429,
+}
+_STATUS_NOT_RUN = 503
+_STATUS_UNKNOWN = 502
+_STATUS_TIMEOUT = 504
+
+
+@attrs.frozen
+class EntrySettings:
+    """Bounds of an entry.
+
+    Parameters
+    ----------
+    max_staleness : float
+        Seconds since the last confirmation of the configuration after which keys
+        are no longer taken; infinite where a withdrawn key may work on.
+    repeat_share, repeat_cap : float
+        See `RepeatBudget`.
+    """
+
+    max_staleness: float
+    repeat_share: float
+    repeat_cap: float
+
+
+@attrs.define(eq=False)
+class EntryCall:
+    """A call that has no answer yet."""
+
+    exchange: Any
+    call: Call
+    route: Route
+    service: str
+    account: ClientAccount | None
+    priority: int
+    arrived_at: float
+    deadline: float
+    number: int = 0
+    target: Target | None = None
+    sent: int = 0
+    reroutes: int = 0
+    tried: set[str] = attrs.field(factory=set)
+    sent_at: float = 0.0
+    may_have_run: bool = False
+    has_token: bool = False
+    is_done: bool = False
+    last: Failure | None = None
+    on_done: Callable[[Any], Any] | None = None
+
+    @property
+    def account_name(self) -> str:
+        """Name of the client account; empty where there is none."""
+        return "" if self.account is None else self.account.name
+
+
+class Replies(Protocol):
+    """Delivers answers to callers."""
+
+    def answer(self, exchange: Any, answer: ServerAnswer) -> None:
+        """Pass a backend server's answer on."""
+
+    def refuse(
+        self, exchange: Any, status: int, reason: Reason, retry_after: float
+    ) -> None:
+        """Answer with a refusal or failure of the daemon's own."""
+
+
+class Recorder(Protocol):
+    """Counts and logs what an entry decides."""
+
+    def ended(self, call: EntryCall, status: int, now: float) -> None:
+        """Record the answer of a backend server."""
+
+    def refused(
+        self, request_id: str, reason: Reason, status: int, call: EntryCall | None
+    ) -> None:
+        """Record a refusal or failure."""
+
+    def repeated(self, call: EntryCall, failure: Failure) -> None:
+        """Record another attempt."""
+
+    def sent(self, call: EntryCall, now: float) -> None:
+        """Record an attempt."""
+
+
+class Entry:
+    """Authenticates, meters, places and repeats calls.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+    targets_by_service : dict of str to list of Target
+        Kept up to date by whoever knows the fleet.
+    placement : Placement
+    quotas : QuotaShares
+    freshness : Freshness
+    replies : Replies
+    recorder : Recorder
+    rng : random.Random
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        targets_by_service: dict[str, list[Target]],
+        placement: Placement,
+        quotas: QuotaShares,
+        freshness: Freshness,
+        replies: Replies,
+        recorder: Recorder,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.targets_by_service = targets_by_service
+        self.placement = placement
+        self.quotas = quotas
+        self.freshness = freshness
+        self.replies = replies
+        self.recorder = recorder
+        self.rng = rng
+        self.repeats = RepeatBudget(settings.repeat_share, settings.repeat_cap)
+        self.configuration: MeshConfiguration | None = None
+        self.call_by_number: dict[int, EntryCall] = {}
+        self._numbers = itertools.count(1)
+        self._deadlines: list[tuple[float, int]] = []
+
+    # Taking calls in.
+
+    def take(self, exchange: Any, call: Call, now: float) -> EntryCall | None:
+        """Take a call in; it is answered through `replies`."""
+        configuration = self.configuration
+        if configuration is None:
+            return self._refuse(exchange, call, Reason.NO_CONFIGURATION)
+        route = configuration.route_of(call.host, call.path)
+        if route is None:
+            return self._refuse(exchange, call, Reason.UNKNOWN_ROUTE)
+        account = None
+        if configuration.needs_keys and not route.is_public:
+            account = configuration.account_by_key.get(call.key or "")
+            if account is None:
+                return self._refuse(exchange, call, Reason.INVALID_KEY)
+            if not self.freshness.is_fresh(now, self.settings.max_staleness):
+                return self._refuse(exchange, call, Reason.STALE_CONFIGURATION, 1.0)
+            if not self.quotas.take(account, now):
+                retry_after = self.quotas.next_token_in(account, now)
+                return self._refuse(exchange, call, Reason.RATE_EXCEEDED, retry_after)
+        entry_call = EntryCall(
+            exchange=exchange,
+            call=call,
+            route=route,
+            service=route.choose_service(self.rng),
+            account=account,
+            priority=_priority_of(route, account),
+            arrived_at=now,
+            deadline=now + min(call.patience, route.timeout),
+            number=next(self._numbers),
+            has_token=account is not None,
+        )
+        self.repeats.note_first(entry_call.service)
+        self.call_by_number[entry_call.number] = entry_call
+        heapq.heappush(self._deadlines, (entry_call.deadline, entry_call.number))
+        self._send(entry_call, now)
+        return entry_call
+
+    def _refuse(
+        self,
+        exchange: Any,
+        call: Call,
+        reason: Reason,
+        retry_after: float = DEFAULT_RETRY_AFTER,
+    ) -> None:
+        status = _STATUS_BY_REASON.get(reason, _STATUS_NOT_RUN)
+        self.recorder.refused(call.request_id, reason, status, None)
+        self.replies.refuse(exchange, status, reason, retry_after)
+
+    # Attempts.
+
+    def _send(self, call: EntryCall, now: float) -> None:
+        targets = self.targets_by_service.get(call.service, ())
+        tried = call.tried
+        target = self.placement.choose(
+            (target for target in targets if target.name not in tried), self.rng
+        )
+        if target is None:
+            failure = call.last or Failure(Reason.NO_BACKEND_SERVER, False)
+            self._give_up(call, failure, now)
+            return
+        call.target = target
+        call.sent_at = now
+        target.load += 1
+        tried.add(target.name)
+        self.recorder.sent(call, now)
+        target.channel.send_call(call, call.deadline - now)
+
+    def answered(self, number: int, answer: ServerAnswer, now: float) -> None:
+        """Pass a backend server's answer on, or ask another one after a failure."""
+        call = self.call_by_number.get(number)
+        if call is None:
+            return
+        call.sent += 1
+        if answer.status == FAILURE_STATUS and self._may_repeat(call, now):
+            failure = Failure(Reason.FAILED, True, True)
+            self._repeat(call, failure, now)
+            return
+        self._forget(call)
+        self.recorder.ended(call, answer.status, now)
+        self.replies.answer(call.exchange, answer)
+
+    def failed(self, number: int, failure: Failure, now: float) -> None:
+        """Try a call elsewhere after a failed attempt, or end it."""
+        call = self.call_by_number.get(number)
+        if call is None:
+            return
+        call.last = failure
+        call.may_have_run |= failure.may_have_run
+        if failure.was_sent:
+            call.sent += 1
+        if not failure.may_have_run and not failure.was_sent:
+            if call.reroutes < MAX_REROUTES and call.deadline - now > MIN_REMAINING:
+                call.reroutes += 1
+                self._send(call, now)
+                return
+        elif self._may_repeat(call, now, failure):
+            self._repeat(call, failure, now)
+            return
+        self._give_up(call, failure, now)
+
+    def _may_repeat(
+        self, call: EntryCall, now: float, failure: Failure | None = None
+    ) -> bool:
+        """Return whether another attempt may be made, and take it off the budget."""
+        is_safe = call.route.is_idempotent or (
+            failure is not None and not call.may_have_run
+        )
+        if not is_safe or call.sent >= call.route.max_attempts:
+            return False
+        if call.deadline - now <= MIN_REMAINING:
+            return False
+        targets = self.targets_by_service.get(call.service, ())
+        if not any(t.is_open and t.name not in call.tried for t in targets):
+            return False
+        return self.repeats.take(call.service)
+
+    def _repeat(self, call: EntryCall, failure: Failure, now: float) -> None:
+        self.recorder.repeated(call, failure)
+        self._send(call, now)
+
+    # Ends.
+
+    def _give_up(self, call: EntryCall, failure: Failure, now: float) -> None:
+        self._forget(call)
+        status = _STATUS_UNKNOWN if call.may_have_run else _STATUS_NOT_RUN
+        if call.deadline <= now and call.may_have_run:
+            status = _STATUS_TIMEOUT
+        if not call.may_have_run and call.has_token and call.account is not None:
+            self.quotas.give_back(call.account)
+        retry_after = failure.retry_after or DEFAULT_RETRY_AFTER
+        retry_after *= 1.0 + self.rng.random()
+        self.recorder.refused(call.call.request_id, failure.reason, status, call)
+        self.replies.refuse(call.exchange, status, failure.reason, retry_after)
+
+    def _forget(self, call: EntryCall) -> None:
+        call.is_done = True
+        if call.on_done is not None:
+            call.on_done(call.exchange)
+        self.call_by_number.pop(call.number, None)
+
+    def abandon(self, number: int) -> None:
+        """Drop a call whose caller has gone."""
+        call = self.call_by_number.get(number)
+        if call is None:
+            return
+        self._forget(call)
+        if call.target is not None:
+            call.target.channel.cancel_call(call)
+
+    def expire(self, now: float) -> None:
+        """Answer the calls whose time is over."""
+        deadlines = self._deadlines
+        while deadlines and deadlines[0][0] <= now:
+            _, number = heapq.heappop(deadlines)
+            call = self.call_by_number.get(number)
+            if call is None:
+                continue
+            call.may_have_run = True
+            if call.target is not None:
+                call.target.channel.cancel_call(call)
+            self._give_up(call, Failure(Reason.DEADLINE, True), now)
+
+    def target_lost(self, target: Target, now: float) -> None:
+        """Fail the attempts that were under way at a daemon."""
+        lost = [call for call in self.call_by_number.values() if call.target is target]
+        failure = Failure(Reason.LINK_LOST, True, True)
+        for call in lost:
+            self.failed(call.number, failure, now)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no caller waits."""
+        return not self.call_by_number
+
+
+def _priority_of(route: Route, account: ClientAccount | None) -> int:
+    if account is None or account.priority is None:
+        return route.priority
+    return account.priority
--- /dev/null
+++ b/knapweedlead/mesh/_placement.py
@@ -0,0 +1,139 @@
+"""Placement: chooses the backend server that receives a call."""
+
+import random
+from collections.abc import Iterable
+from typing import Any, ClassVar, Protocol
+
+import attrs
+
+from knapweedlead.mesh._guard import ServerState
+from knapweedlead.parameters import Constraint, Interval, check_parameters
+from knapweedlead.registries import Registry
+
+
+@attrs.define(eq=False)
+class Target:
+    """A daemon and the backend server beside it, as an entry knows them.
+
+    Attributes
+    ----------
+    name, data_centre, service : str
+    channel : object
+        Takes calls for the daemon.
+    is_up : bool
+        Whether calls can be passed to the daemon.
+    state : ServerState
+        Last told by the daemon.
+    load : int
+        Calls at the backend server: as last told, and those sent since.
+    """
+
+    name: str
+    data_centre: str
+    service: str
+    channel: Any
+    is_up: bool = False
+    state: ServerState = ServerState()
+    load: int = 0
+
+    def take_state(self, state: ServerState) -> None:
+        """Take what the daemon tells."""
+        self.state = state
+        self.load = state.running + state.queued
+
+    def take_load(self, running: int, queued: int) -> None:
+        """Take the load told along with an answer."""
+        self.load = running + queued
+
+    @property
+    def is_open(self) -> bool:
+        """Whether a call may be sent."""
+        return self.is_up and self.state.is_open
+
+
+class Placement(Protocol):
+    """A policy that chooses among the targets of a service."""
+
+    parameter_constraints: ClassVar[dict[str, Constraint]]
+
+    def choose(self, targets: Iterable[Target], rng: random.Random) -> Target | None:
+        """Return the target for a call, or None where none is open."""
+
+
+PLACEMENTS: Registry[Placement] = Registry("placement")
+
+
+@PLACEMENTS.register("random")
+class RandomPlacement:
+    """Baseline: any open target."""
+
+    parameter_constraints: ClassVar[dict[str, Constraint]] = {}
+
+    def choose(self, targets: Iterable[Target], rng: random.Random) -> Target | None:
+        """Return any open target."""
+        opened = [target for target in targets if target.is_open]
+        return rng.choice(opened) if opened else None
+
+
+@PLACEMENTS.register("least_cost")
+class LeastCostPlacement:
+    """The target where a call is expected to end first, nearby ones favoured.
+
+    Answers servers of one service that differ in speed, fill up, fail part of
+    their calls or turn cold: the cost of a target is its service time, raised
+    with its utilization.
+
+    Parameters
+    ----------
+    data_centre : str
+        Own data centre.
+    distance_factor : float
+        Cost of a target in another data centre relative to one nearby.
+    cold_factor : float
+        Cost of a cold target relative to a warm one.
+    noise : float
+        Random part of a cost, so that entries do not all choose the same target.
+    """
+
+    parameter_constraints: ClassVar[dict[str, Constraint]] = {
+        "distance_factor": Interval(float, 1.0, 100.0),
+        "cold_factor": Interval(float, 1.0, 100.0),
+        "noise": Interval(float, 0.0, 1.0),
+    }
+
+    def __init__(
+        self,
+        data_centre: str,
+        distance_factor: float = 2.0,
+        cold_factor: float = 4.0,
+        noise: float = 0.1,
+    ) -> None:
+        self.data_centre = data_centre
+        self.distance_factor = distance_factor
+        self.cold_factor = cold_factor
+        self.noise = noise
+        check_parameters(self)
+
+    def choose(self, targets: Iterable[Target], rng: random.Random) -> Target | None:
+        """Return the open target of the least cost."""
+        best = None
+        best_cost = 0.0
+        for target in targets:
+            if not target.is_open:
+                continue
+            cost = self._cost(target) * (1.0 + self.noise * rng.random())
+            if best is None or cost < best_cost:
+                best = target
+                best_cost = cost
+        return best
+
+    def _cost(self, target: Target) -> float:
+        state = target.state
+        utilization = (target.load + 1) / max(1, state.limit)
+        cost = state.service_time * (1.0 + utilization + 6.0 * utilization**6)
+        cost /= max(0.05, 1.0 - state.failure_share) ** 2
+        if target.data_centre != self.data_centre:
+            cost *= self.distance_factor
+        if state.is_cold:
+            cost *= self.cold_factor
+        return cost
--- a/knapweedlead/operators/_api.py
+++ b/knapweedlead/operators/_api.py
@@ -25,9 +25,9 @@
     ListResources,
     OperatorReply,
 )
+from knapweedlead.http import split_address
 from knapweedlead.operators._changes import ChangeFeed
 from knapweedlead.operators._problems import OperatorProblemError, problem
-from knapweedlead.transport import split_address
 
 REPLY_TIMEOUT = 15.0
 """Seconds until a request without the node's reply is refused."""
--- /dev/null
+++ b/knapweedlead/platform/_requests.py
@@ -0,0 +1,159 @@
+"""Requests and answers as callers and backend servers of the platform speak them."""
+
+import math
+
+from result import Err, Ok, Result
+
+from knapweedlead.errors import CodecError
+from knapweedlead.mesh import Call
+
+REQUEST_ID = "knapweedlead-request-id"
+DEADLINE = "knapweedlead-deadline-ms"
+EXPECT_INSTANCE = "knapweedlead-expect-instance"
+TENANT = "knapweedlead-tenant"
+CALLER_SERVICE = "knapweedlead-caller-service"
+SEAL = "knapweedlead-response-seal"
+NOT_EXECUTED = "knapweedlead-not-executed"
+INSTANCE_ID = "knapweedlead-instance-id"
+COLD = "knapweedlead-cold-ms"
+
+KEY_SCHEME = "token "
+MISDIRECTED_STATUS = 421
+
+_MS_PER_S = 1000.0
+
+_DROPPED = frozenset(
+    {
+        DEADLINE,
+        EXPECT_INSTANCE,
+        TENANT,
+        CALLER_SERVICE,
+        SEAL,
+        NOT_EXECUTED,
+        INSTANCE_ID,
+        "authorization",
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+"""Headers that concern one connection only, or that only the system sets."""
+
+_DROPPED_FROM_ANSWERS = frozenset(
+    {"connection", "content-length", "keep-alive", "trailer", "transfer-encoding"}
+)
+
+
+def decode_call(
+    method: str, target: str, headers: dict[str, str], body: bytes, own_service: str
+) -> Result[Call, CodecError]:
+    """Decode a request of a caller.
+
+    Parameters
+    ----------
+    method, target : str
+        Of the request line.
+    headers : dict of str to str
+        Lower-case names.
+    body : bytes
+        The whole body.
+    own_service : str
+        Service on this machine, where the request originates.
+    """
+    request_id = headers.get(REQUEST_ID, "")
+    host = headers.get("host", "")
+    if not request_id or not host or not target.startswith("/"):
+        detail = f"expected a request id, a host and a path, got {method} {target!r}"
+        return Err(CodecError("request.decode", headers.get("host", "-"), detail))
+    listed = headers.get("connection", "").lower()
+    hop_names = {name.strip() for name in listed.split(",")} if listed else ()
+    lines = [f"{method} {target} HTTP/1.1"]
+    lines += [
+        f"{name}: {value}"
+        for name, value in headers.items()
+        if name not in _DROPPED and name not in hop_names
+    ]
+    if body or method in ("POST", "PUT", "PATCH"):
+        lines.append(f"content-length: {len(body)}")
+    lines.append(f"{CALLER_SERVICE}: {own_service}\r\n")
+    return Ok(
+        Call(
+            request_id=request_id,
+            host=host.partition(":")[0],
+            path=target.partition("?")[0],
+            patience=_patience_of(headers),
+            key=_key_of(headers),
+            head="\r\n".join(lines).encode("latin-1", "replace"),
+            body=body,
+            is_head_method=method == "HEAD",
+        )
+    )
+
+
+def _patience_of(headers: dict[str, str]) -> float:
+    try:
+        patience = float(headers[DEADLINE]) / _MS_PER_S
+    except (KeyError, ValueError):
+        return math.inf
+    return patience if patience >= 0.0 else math.inf
+
+
+def _key_of(headers: dict[str, str]) -> str | None:
+    authorization = headers.get("authorization", "")
+    if authorization[: len(KEY_SCHEME)].lower() != KEY_SCHEME:
+        return None
+    return authorization[len(KEY_SCHEME) :].strip()
+
+
+def server_request(
+    head: bytes, body: bytes, account: str, instance: str, remaining: float
+) -> bytes:
+    """Return a whole request for a backend server.
+
+    Parameters
+    ----------
+    head, body : bytes
+        From the decoded call.
+    account : str
+        Name of the client account; empty for none.
+    instance : str
+        Start of the backend server that is meant.
+    remaining : float
+        Seconds until nobody waits any longer.
+    """
+    milliseconds = max(1, int(remaining * _MS_PER_S))
+    lines = f"{DEADLINE}: {milliseconds}\r\n{EXPECT_INSTANCE}: {instance}\r\n"
+    if account:
+        lines += f"{TENANT}: {account}\r\n"
+    return b"%s%s\r\n%s" % (head, lines.encode("latin-1"), body)
+
+
+def answer_headers(headers: dict[str, str]) -> dict[str, str]:
+    """Return the headers of a backend server's answer that the caller receives."""
+    return {
+        name: value
+        for name, value in headers.items()
+        if name not in _DROPPED_FROM_ANSWERS
+    }
+
+
+def is_misdirected(status: int) -> bool:
+    """Return whether another server than the expected one has answered."""
+    return status == MISDIRECTED_STATUS
+
+
+def is_declined(headers: dict[str, str]) -> bool:
+    """Return whether the backend server states that it did not run a request."""
+    return NOT_EXECUTED in headers
+
+
+def is_sealed(headers: dict[str, str]) -> bool:
+    """Return whether an answer bears the mark of a backend server."""
+    return SEAL in headers
--- /dev/null
+++ b/knapweedlead/platform/_store.py
@@ -0,0 +1,215 @@
+"""Client of the platform's metadata store."""
+
+import asyncio
+import base64
+import itertools
+import json
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import urlencode
+
+from result import Err, Ok, Result
+
+from knapweedlead.errors import StoreError, StoreFault
+from knapweedlead.http import BackendServerClient, HttpAnswer
+from knapweedlead.mesh import (
+    Change,
+    Item,
+    LeaseGrant,
+    Listing,
+    StorePurpose,
+)
+
+WATCH_MARGIN = 1.0
+"""Seconds that the answer of a watch may take beyond the time it was asked to wait."""
+MAX_CONNECTIONS = 8
+
+_MS_PER_S = 1000.0
+_OK = 200
+_NOT_FOUND = 404
+_CONFLICT = 412
+_GONE = 410
+
+
+class PlatformStore:
+    """Typed calls to the store; every one of them is counted by purpose.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT``.
+    timeout : float
+        Seconds for a call that does not wait.
+    on_call : callable
+        Takes purpose, outcome and seconds of each call.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        timeout: float,
+        on_call: Callable[[StorePurpose, str, float], None],
+    ) -> None:
+        self.address = address
+        self.timeout = timeout
+        self.on_call = on_call
+        self._runs = itertools.count(1)
+        self._future_by_run: dict[int, asyncio.Future[Any]] = {}
+        self._client = BackendServerClient(
+            address, MAX_CONNECTIONS, self._answered, self._failed
+        )
+
+    async def list(
+        self, prefix: str, purpose: StorePurpose
+    ) -> Result[Listing, StoreError]:
+        """Read all items under a prefix, page by page."""
+        items: list[Item] = []
+        revision = 0
+        after = ""
+        while True:
+            query = {"prefix": prefix} | ({"after": after} if after else {})
+            path = f"/-/kv-range?{urlencode(query)}"
+            result = await self._call("GET", path, None, purpose, self.timeout)
+            if isinstance(result, Err):
+                return result
+            page = result.ok_value
+            items += [_item(entry) for entry in page["items"]]
+            # Pages are no snapshot: watching from the first one misses nothing.
+            revision = revision or page["at"]
+            if not page["hasMore"] or not page["items"]:
+                return Ok(Listing(tuple(items), revision))
+            after = page["items"][-1]["key"]
+
+    async def watch(
+        self, prefix: str, after: int, wait: float, purpose: StorePurpose
+    ) -> Result[Change, StoreError]:
+        """Wait for changes under a prefix after a revision."""
+        wait_ms = int(wait * _MS_PER_S)
+        query = urlencode({"prefix": prefix, "after": after, "waitMs": wait_ms})
+        path = f"/-/kv-watch?{query}"
+        timeout = wait + max(WATCH_MARGIN, self.timeout)
+        result = await self._call("GET", path, None, purpose, timeout)
+        if isinstance(result, Err):
+            return result
+        events = result.ok_value["events"]
+        return Ok(
+            Change(
+                written=tuple(_item(e) for e in events if not e.get("deleted")),
+                removed=tuple(e["key"] for e in events if e.get("deleted")),
+                revision=result.ok_value["at"],
+            )
+        )
+
+    async def grant_lease(self, duration: float) -> Result[LeaseGrant, StoreError]:
+        """Create a lease."""
+        body = {"ttlMs": int(duration * _MS_PER_S)}
+        result = await self._call(
+            "POST", "/-/kv-lease", body, StorePurpose.MEMBERSHIP, self.timeout
+        )
+        if isinstance(result, Err):
+            return result
+        answer = result.ok_value
+        return Ok(LeaseGrant(answer["lease"], answer["ttlMs"] / _MS_PER_S))
+
+    async def renew_lease(self, lease: int) -> Result[None, StoreError]:
+        """Renew a lease; a lapsed one gives ``CONFLICT``."""
+        result = await self._call(
+            "POST", f"/-/kv-keep/{lease}", None, StorePurpose.RENEWAL, self.timeout
+        )
+        return result if isinstance(result, Err) else Ok(None)
+
+    async def end_lease(self, lease: int) -> Result[None, StoreError]:
+        """End a lease, which removes its keys."""
+        path = f"/-/kv-lease-end/{lease}"
+        result = await self._call(
+            "DELETE", path, None, StorePurpose.MEMBERSHIP, self.timeout
+        )
+        return result if isinstance(result, Err) else Ok(None)
+
+    async def put(self, key: str, value: bytes, lease: int) -> Result[None, StoreError]:
+        """Write a key that lasts as long as a lease."""
+        encoded = base64.b64encode(value).decode("ascii")
+        body = {
+            "expect": [],
+            "puts": [{"key": key, "value": encoded, "lease": lease}],
+            "remove": [],
+        }
+        result = await self._call(
+            "POST", "/-/kv-txn", body, StorePurpose.MEMBERSHIP, self.timeout
+        )
+        return result if isinstance(result, Err) else Ok(None)
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._client.close()
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: Any,
+        purpose: StorePurpose,
+        timeout: float,
+    ) -> Result[Any, StoreError]:
+        loop = asyncio.get_running_loop()
+        run = next(self._runs)
+        future = loop.create_future()
+        self._future_by_run[run] = future
+        started_at = loop.time()
+        data = _request_bytes(method, path, self.address, body)
+        self._client.send(run, data, False, timeout)
+        try:
+            answer = await future
+        finally:
+            if self._future_by_run.pop(run, None) is not None:
+                self._client.cancel(run)
+        result = self._decode(path, answer)
+        outcome = result.err_value.fault.value if isinstance(result, Err) else "ok"
+        self.on_call(purpose, outcome, loop.time() - started_at)
+        return result
+
+    def _answered(self, run: int, answer: HttpAnswer) -> None:
+        self._settle(run, answer)
+
+    def _failed(self, run: int, was_sent: bool, detail: str) -> None:
+        fault = StoreFault.UNKNOWN_OUTCOME if was_sent else StoreFault.UNAVAILABLE
+        self._settle(run, StoreError("store.call", self.address, detail, fault))
+
+    def _settle(self, run: int, outcome: Any) -> None:
+        future = self._future_by_run.pop(run, None)
+        if future is not None and not future.done():
+            future.set_result(outcome)
+
+    def _decode(self, path: str, answer: Any) -> Result[Any, StoreError]:
+        if isinstance(answer, StoreError):
+            return Err(answer)
+        if answer.status == _OK:
+            try:
+                return Ok(json.loads(answer.body) if answer.body else {})
+            except ValueError as error:
+                fault, detail = StoreFault.UNKNOWN_OUTCOME, f"bad answer: {error}"
+        else:
+            fault = _FAULT_BY_STATUS.get(answer.status, StoreFault.UNAVAILABLE)
+            detail = f"status {answer.status}"
+        step = "store." + path[3:].partition("?")[0].partition("/")[0]
+        return Err(StoreError(step, self.address, detail, fault))
+
+
+_FAULT_BY_STATUS = {
+    _NOT_FOUND: StoreFault.CONFLICT,
+    _CONFLICT: StoreFault.CONFLICT,
+    _GONE: StoreFault.COMPACTED,
+}
+
+
+def _request_bytes(method: str, path: str, host: str, body: Any) -> bytes:
+    content = b"" if body is None else json.dumps(body).encode()
+    head = (
+        f"{method} {path} HTTP/1.1\r\nhost: {host}\r\n"
+        f"content-type: application/json\r\ncontent-length: {len(content)}\r\n\r\n"
+    )
+    return head.encode("ascii") + content
+
+
+def _item(entry: dict[str, Any]) -> Item:
+    return Item(entry["key"], base64.b64decode(entry["value"]), entry["revision"])
--- /dev/null
+++ b/knapweedlead/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon on the users' platform: carries out what `knapweedlead.mesh` decides."""
--- /dev/null
+++ b/knapweedlead/sidecar/_recorder.py
@@ -0,0 +1,229 @@
+"""Counts and log lines of what the daemon decides, bounded under any load."""
+
+import os
+import sys
+import time
+import zlib
+from collections import Counter
+from typing import Any
+
+import attrs
+
+from knapweedlead.mesh import EntryCall, Failure, Reason, StorePurpose
+
+SAMPLE = 64
+"""One in so many calls that end well is logged, the same at each daemon."""
+LINES_PER_SECOND = 40
+"""Lines a second for each kind of event; further ones are counted as dropped."""
+MAX_BUFFERED_BYTES = 256 * 1024
+"""Bytes that wait for a reader of the standard output that is slow."""
+LATENCY_BOUNDS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
+"""Upper bounds of the histogram's buckets, in seconds."""
+
+_MS_PER_S = 1000.0
+
+
+class LineWriter:
+    """Writes lines to a descriptor that is never waited for."""
+
+    def __init__(self, descriptor: int) -> None:
+        self.descriptor = descriptor
+        self.dropped = 0
+        self._buffer = bytearray()
+        os.set_blocking(descriptor, False)
+
+    def write(self, line: str) -> None:
+        """Keep a line for the next flush, or drop it."""
+        if len(self._buffer) > MAX_BUFFERED_BYTES:
+            self.dropped += 1
+        else:
+            self._buffer += line.encode("utf-8", "replace") + b"\n"
+
+    def flush(self) -> None:
+        """Write what the reader takes."""
+        while self._buffer:
+            try:
+                written = os.write(self.descriptor, self._buffer)
+            except BlockingIOError:
+                return
+            except OSError:
+                self.dropped += self._buffer.count(b"\n")
+                self._buffer.clear()
+                return
+            del self._buffer[:written]
+
+
+@attrs.define
+class _LineBudget:
+    second: int = 0
+    lines: int = 0
+    dropped: int = 0
+
+
+class MeshRecorder:
+    """Counters by name and label, latencies by route, and log lines.
+
+    Parameters
+    ----------
+    daemon : str
+        Name in each line.
+    writer : LineWriter or None
+        The standard output where none is given.
+    """
+
+    def __init__(self, daemon: str, writer: LineWriter | None = None) -> None:
+        self.daemon = daemon
+        self.writer = writer or LineWriter(sys.stdout.fileno())
+        self.count_by_name: Counter[tuple[str, str]] = Counter()
+        self.latencies_by_route: dict[str, list[int]] = {}
+        self.latency_sum_by_route: Counter[str] = Counter()
+        self._budget_by_event: dict[str, _LineBudget] = {}
+
+    def count(self, name: str, label: str = "", amount: int = 1) -> None:
+        """Add to a counter."""
+        self.count_by_name[name, label] += amount
+
+    def log(self, event: str, **fields: Any) -> None:
+        """Write a line, unless too many of its kind were written this second."""
+        now = time.time()
+        budget = self._budget_by_event.setdefault(event, _LineBudget())
+        if budget.second != int(now):
+            dropped, budget.dropped = budget.dropped, 0
+            budget.second = int(now)
+            budget.lines = 0
+            if dropped:
+                self._write(now, event, {"lines_dropped": dropped})
+        if budget.lines >= LINES_PER_SECOND:
+            budget.dropped += 1
+            self.count("log.lines_dropped", event)
+            return
+        budget.lines += 1
+        self._write(now, event, fields)
+
+    def _write(self, now: float, event: str, fields: dict[str, Any]) -> None:
+        pairs = " ".join(f"{name}={_text(value)}" for name, value in fields.items())
+        self.writer.write(f"time={now:.3f} daemon={self.daemon} event={event} {pairs}")
+
+    # Calls at the entry.
+
+    def sent(self, call: EntryCall, now: float) -> None:
+        """Record an attempt."""
+        assert call.target is not None
+        if is_sampled(call.call.request_id):
+            state = call.target.state
+            self.log(
+                "call_sent",
+                request=call.call.request_id,
+                route=call.route.name,
+                service=call.service,
+                to=call.target.name,
+                load=call.target.load,
+                limit=state.limit,
+                service_time_ms=round(state.service_time * _MS_PER_S, 1),
+                remaining_ms=int((call.deadline - now) * _MS_PER_S),
+            )
+
+    def ended(self, call: EntryCall, status: int, now: float) -> None:
+        """Record the answer of a backend server."""
+        elapsed = now - call.arrived_at
+        self.count("calls.answered", str(status))
+        buckets = self.latencies_by_route.setdefault(
+            call.route.name, [0] * (len(LATENCY_BOUNDS) + 1)
+        )
+        buckets[_bucket(elapsed)] += 1
+        self.latency_sum_by_route[call.route.name] += elapsed  # type: ignore[assignment]
+        if status >= 400 or is_sampled(call.call.request_id):
+            self.log(
+                "call_answered",
+                request=call.call.request_id,
+                route=call.route.name,
+                status=status,
+                by="" if call.target is None else call.target.name,
+                attempts=call.sent,
+                elapsed_ms=int(elapsed * _MS_PER_S),
+            )
+
+    def refused(
+        self, request_id: str, reason: Reason, status: int, call: EntryCall | None
+    ) -> None:
+        """Record a refusal or failure of the daemon's own."""
+        self.count("calls.refused", reason.value)
+        fields: dict[str, Any] = {}
+        if call is not None:
+            fields = {
+                "route": call.route.name,
+                "service": call.service,
+                "to": "" if call.target is None else call.target.name,
+                "attempts": call.sent,
+                "reroutes": call.reroutes,
+                "account": call.account_name,
+            }
+        self.log(
+            "call_refused",
+            request=request_id,
+            reason=reason.value,
+            status=status,
+            **fields,
+        )
+
+    def repeated(self, call: EntryCall, failure: Failure) -> None:
+        """Record another attempt."""
+        self.count("calls.repeated", failure.reason.value)
+        self.log(
+            "call_repeated",
+            request=call.call.request_id,
+            reason=failure.reason.value,
+            failed_at="" if call.target is None else call.target.name,
+            attempts=call.sent,
+        )
+
+    def store_call(self, purpose: StorePurpose, outcome: str, elapsed: float) -> None:
+        """Count a call to the store."""
+        self.count("store.calls", f"{purpose.value},{outcome}")
+
+    def render(self) -> bytes:
+        """Return all counters and histograms in the text exposition format."""
+        lines = [
+            f'{_metric(name)}_total{{label="{label}"}} {count}'
+            for (name, label), count in sorted(self.count_by_name.items())
+        ]
+        for route, buckets in sorted(self.latencies_by_route.items()):
+            total = 0
+            for bound, count in zip((*LATENCY_BOUNDS, "+Inf"), buckets, strict=True):
+                total += count
+                lines.append(
+                    f"knapweedlead_call_duration_seconds_bucket"
+                    f'{{route="{route}",le="{bound}"}} {total}'
+                )
+            lines.append(
+                f'knapweedlead_call_duration_seconds_sum{{route="{route}"}} '
+                f"{self.latency_sum_by_route[route]:.6f}"
+            )
+            lines.append(
+                f'knapweedlead_call_duration_seconds_count{{route="{route}"}} {total}'
+            )
+        return ("\n".join(lines) + "\n").encode()
+
+
+def is_sampled(request_id: str) -> bool:
+    """Return whether a call that ends well is logged; the same at each daemon."""
+    return zlib.crc32(request_id.encode()) % SAMPLE == 0
+
+
+def _bucket(elapsed: float) -> int:
+    for index, bound in enumerate(LATENCY_BOUNDS):
+        if elapsed <= bound:
+            return index
+    return len(LATENCY_BOUNDS)
+
+
+def _metric(name: str) -> str:
+    return "knapweedlead_" + name.replace(".", "_")
+
+
+def _text(value: Any) -> str:
+    text = str(value)
+    if not text or any(c in text for c in ' "=\n'):
+        escaped = text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
+        return f'"{escaped}"'
+    return text
--- /dev/null
+++ b/knapweedlead/sidecar/_sidecar.py
@@ -0,0 +1,358 @@
+"""The daemon: composes its parts and passes events between them."""
+
+import asyncio
+import random
+
+from result import Err
+
+from knapweedlead.mesh import (
+    PLACEMENTS,
+    Call,
+    Entry,
+    EntrySettings,
+    Freshness,
+    Guard,
+    Member,
+    MeshSettings,
+    OperatorState,
+    QuotaShares,
+    Roster,
+    ServerReport,
+    Target,
+)
+from knapweedlead.platform import PlatformStore, decode_configuration
+from knapweedlead.sidecar._clock import read_clock
+from knapweedlead.sidecar._doors import CallerDoor, ReportDoor, StatusDoor
+from knapweedlead.sidecar._links import ASK_PERIOD, Links, LocalChannel
+from knapweedlead.sidecar._recorder import MeshRecorder
+from knapweedlead.sidecar._runner import ServerRunner
+from knapweedlead.sidecar._store_sync import StoreSync
+from knapweedlead.sidecar._wire import PeerState
+
+TICK = 0.02
+"""Seconds between looks at deadlines and waiting calls."""
+STALENESS_SHARE = 0.8
+"""Part of the revocation time after which an unconfirmed configuration admits no
+keys; the rest is for the call on its way to the backend server."""
+REPEAT_SHARE = 0.5
+"""Part of the fleet's repeat ratio that each hop uses, since the calls of a repeated
+call count as repeats too."""
+STORE_TIMEOUT = 1.0
+"""Seconds for a call to the store."""
+LEAVE_NOTICE = 2.5
+"""Seconds for which a stopping daemon goes on taking calls: two missed readiness
+questions, one second apart, and some time for the last of them."""
+EXIT_MARGIN = 0.7
+"""Seconds before the process is killed at which it exits by itself."""
+
+
+class Sidecar:
+    """One daemon on one event loop.
+
+    Parameters
+    ----------
+    settings : MeshSettings
+    rng : random.Random
+    """
+
+    def __init__(self, settings: MeshSettings, rng: random.Random) -> None:
+        self.settings = settings
+        self.rng = rng
+        self.clock = read_clock
+        self.recorder = MeshRecorder(settings.name)
+        self.operator_state = OperatorState()
+        self.freshness = Freshness()
+        self.roster = Roster()
+        self.runner = ServerRunner(settings.server_address, self.clock)
+        self.guard = Guard(
+            settings.service, settings.data_centre, self.runner, self._guard_changed
+        )
+        self.runner.guard = self.guard
+        self.callers = CallerDoor(self, settings.service)
+        self.reports = ReportDoor(self)
+        self.ready_door = StatusDoor(self._readiness)
+        self.metrics_door = StatusDoor(lambda: (200, self.recorder.render()))
+        self.links = Links(self, settings.name, self._targets_changed)
+        self.local = LocalChannel(self)
+        self.own_target = Target(
+            settings.name, settings.data_centre, settings.service, self.local
+        )
+        self.own_target.is_up = True
+        self.local.target = self.own_target
+        self.quotas = QuotaShares(self.clock())
+        self.targets_by_service: dict[str, list[Target]] = {}
+        self.entry = Entry(
+            EntrySettings(
+                max_staleness=_staleness(settings),
+                repeat_share=settings.repeat_ratio * REPEAT_SHARE,
+                repeat_cap=settings.repeat_extra * REPEAT_SHARE,
+            ),
+            self.targets_by_service,
+            PLACEMENTS.create("least_cost", data_centre=settings.data_centre),
+            self.quotas,
+            self.freshness,
+            self.callers,
+            self.recorder,
+            rng,
+        )
+        self._number_by_exchange: dict[int, int] = {}
+        self.store = PlatformStore(
+            settings.store_address, STORE_TIMEOUT, self.recorder.store_call
+        )
+        own = Member(
+            settings.name,
+            f"{settings.ip}:{settings.link_port}",
+            settings.service,
+            settings.data_centre,
+        )
+        self.sync = StoreSync(self, self.store, own)
+        self.is_stopping = False
+        self._is_reached_by_step: dict[str, bool] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+
+    # Life.
+
+    async def start(self) -> None:
+        """Open all listeners and begin."""
+        settings = self.settings
+        await self.links.start(f"{settings.ip}:{settings.link_port}")
+        await self.reports.server.start(settings.report_address)
+        await self.callers.server.start(settings.caller_address)
+        await self.ready_door.server.start(settings.ready_address)
+        await self.metrics_door.server.start(f"{settings.ip}:{settings.metrics_port}")
+        self._targets_changed([])
+        self.sync.start()
+        self._tasks.append(asyncio.ensure_future(self._tick()))
+        self._tasks.append(asyncio.ensure_future(self._ask()))
+        self.recorder.log(
+            "started",
+            service=settings.service,
+            data_centre=settings.data_centre,
+            caller_address=settings.caller_address,
+        )
+
+    async def stop(self) -> None:
+        """Finish what is under way, within the time there is, then end."""
+        asked_at = self.clock()
+        end = asked_at + self.settings.shutdown_time - EXIT_MARGIN
+        self.recorder.log("stopping", calls=len(self.entry.call_by_number))
+        self.is_stopping = True
+        self.callers.server.announce_close()
+        self.guard.stop(asked_at)
+        while self.clock() < end:
+            is_noticed = self.clock() - asked_at > LEAVE_NOTICE
+            if is_noticed and self.entry.is_idle and self.guard.is_idle:
+                break
+            await asyncio.sleep(TICK)
+        self.callers.server.stop_listening()
+        try:
+            async with asyncio.timeout(EXIT_MARGIN / 2):
+                await self.sync.stop()
+        except TimeoutError:
+            self.recorder.log("store_lost", step="deregister")
+        await self.callers.server.stop()
+        self.links.close()
+        for task in self._tasks:
+            task.cancel()
+        self.recorder.log("stopped", took_ms=int((self.clock() - asked_at) * 1000))
+        self.recorder.writer.flush()
+
+    async def _tick(self) -> None:
+        while True:
+            now = self.clock()
+            try:
+                self.entry.expire(now)
+                self.guard.tick(now)
+                self.recorder.writer.flush()
+            except Exception as error:
+                self.note_fault("tick", error)
+            await asyncio.sleep(TICK)
+
+    async def _ask(self) -> None:
+        while True:
+            now = self.clock()
+            try:
+                self.links.tick(now)
+                self._divide_quotas(now)
+                self.own_target.take_state(self.guard.state(now))
+            except Exception as error:
+                self.note_fault("ask", error)
+            await asyncio.sleep(ASK_PERIOD)
+
+    def note_fault(self, step: str, error: BaseException) -> None:
+        """Record a fault of the daemon's own."""
+        self.recorder.count("faults", step)
+        self.recorder.log("fault", step=step, error=repr(error))
+
+    def _readiness(self) -> tuple[int, bytes]:
+        is_ready = self.entry.configuration is not None and not self.is_stopping
+        return (200, b"ready\n") if is_ready else (503, b"not ready\n")
+
+    # Callers.
+
+    def take_call(self, exchange: int, call: Call) -> None:
+        """Take a call in."""
+        taken = self.entry.take(exchange, call, self.clock())
+        if taken is not None and not taken.is_done:
+            self._number_by_exchange[exchange] = taken.number
+            taken.on_done = self._number_by_exchange.pop
+
+    def caller_gone(self, exchange: int) -> None:
+        """Drop the call of a caller that has gone."""
+        number = self._number_by_exchange.pop(exchange, None)
+        if number is not None:
+            self.recorder.count("calls.abandoned")
+            self.entry.abandon(number)
+
+    def bad_input(self, door: str, detail: str) -> None:
+        """Record input that cannot be read."""
+        self.recorder.count("bad_input", door)
+        self.recorder.log("bad_input", door=door, detail=detail)
+
+    # The own backend server.
+
+    def take_report(self, report: ServerReport) -> None:
+        """Take a heartbeat."""
+        if report.address != self.settings.server_address:
+            self.bad_input("heartbeat", f"address {report.address}")
+            return
+        now = self.clock()
+        before = self.guard.state(now)
+        self.guard.take_report(report, now)
+        after = self.guard.state(now)
+        if (before.instance, before.is_open, before.is_cold) != (
+            after.instance,
+            after.is_open,
+            after.is_cold,
+        ):
+            self.recorder.log(
+                "backend_server",
+                instance=report.instance,
+                is_open=after.is_open,
+                is_draining=report.is_draining,
+                cold_ms=int(report.cold_for * 1000),
+                slots=report.slots,
+                sequence=report.sequence,
+                born=report.born,
+            )
+
+    def take_leave(self, instance: str) -> None:
+        """Take note that a start of the backend server goes away."""
+        is_known = self.guard.take_leave(instance, self.clock())
+        self.recorder.log("backend_server_left", instance=instance, is_known=is_known)
+
+    def _guard_changed(self) -> None:
+        self.own_target.take_state(self.guard.state(self.clock()))
+        self.links.tell_all()
+
+    # The store and the peers.
+
+    def take_operator_state(self, state: OperatorState, source: str) -> None:
+        """Put a newer operator state in force."""
+        known = self.operator_state
+        if state.revision <= known.revision:
+            return
+        now = self.clock()
+        self.operator_state = state
+        if state.configuration != known.configuration and state.configuration:
+            self._take_configuration(state, source)
+        configuration = self.entry.configuration
+        if configuration is not None:
+            self.guard.take_configuration(configuration, state.evacuated, now)
+        if state.evacuated != known.evacuated:
+            names = ",".join(sorted(state.evacuated))
+            self.recorder.log(
+                "evacuated", data_centres=names, revision=state.revision, source=source
+            )
+
+    def _take_configuration(self, state: OperatorState, source: str) -> None:
+        decoded = decode_configuration(state.configuration)
+        if isinstance(decoded, Err):
+            self.bad_input("configuration", str(decoded.err_value))
+            return
+        configuration = decoded.ok_value
+        current = self.entry.configuration
+        if current is not None and configuration.version <= current.version:
+            return
+        self.entry.configuration = configuration
+        self.callers.set_limits(configuration.limits)
+        self.recorder.log(
+            "configuration",
+            version=configuration.version,
+            revision=state.revision,
+            source=source,
+            routes=len(configuration.routes),
+            accounts=len(configuration.account_by_name),
+        )
+
+    def confirm(self, asked_at: float) -> None:
+        """Note that the store knew nothing newer at a time."""
+        self.freshness.confirm(asked_at)
+
+    def peer_state(self, asked_at: float, heard_at: float) -> PeerState:
+        """Return what to tell a peer."""
+        lead = max(self.freshness.confirmed_at - heard_at, -1e6)
+        state = self.guard.state(self.clock())
+        return PeerState(asked_at, lead, self.operator_state.revision, state)
+
+    def take_peer_state(self, target: Target, state: PeerState) -> bool:
+        """Take what a peer tells; return whether it knows a newer configuration."""
+        own = self.operator_state.revision
+        if state.revision > own:
+            return True
+        if state.revision == own and state.asked_at > 0.0:
+            self.freshness.confirm_by_peer(state.asked_at, state.lead)
+        return False
+
+    def replace_members(self, by_name: dict[str, Member]) -> None:
+        """Take the whole list of members."""
+        self.roster.replace(by_name, self.clock())
+        self._members_changed()
+
+    def take_members(self, by_name: dict[str, Member], removed: set[str]) -> None:
+        """Take changes of the list of members."""
+        now = self.clock()
+        for name in removed:
+            self.roster.remove(name, now)
+        for member in by_name.values():
+            self.roster.add(member)
+        self._members_changed()
+
+    def _members_changed(self) -> None:
+        self.links.set_members(self.roster.by_name)
+        self._divide_quotas(self.clock())
+        self.recorder.log("members", count=len(self.roster.by_name))
+
+    def _divide_quotas(self, now: float) -> None:
+        members = self.roster.count(now)
+        configuration = self.entry.configuration
+        if configuration is not None:
+            self.quotas.set_members(members, now, configuration.account_by_name)
+        self.entry.repeats.members = members
+
+    def _targets_changed(self, targets: list[Target]) -> None:
+        self.targets_by_service.clear()
+        for target in (self.own_target, *targets):
+            self.targets_by_service.setdefault(target.service, []).append(target)
+
+    def store_changed(self, step: str, is_reached: bool, detail: str) -> None:
+        """Record that the store was lost or reached again."""
+        if self._is_reached_by_step.get(step) != is_reached:
+            self._is_reached_by_step[step] = is_reached
+            event = "store_reached" if is_reached else "store_lost"
+            self.recorder.log(event, step=step, detail=detail)
+
+    def registered(self, is_registered: bool) -> None:
+        """Record whether the daemon is listed."""
+        self.recorder.log("registered", is_registered=is_registered)
+
+    def link_changed(self, name: str, is_up: bool, detail: str) -> None:
+        """Record that a link was opened or lost."""
+        event = "link_up" if is_up else "link_lost"
+        self.recorder.log(event, peer=name, detail=detail)
+
+
+def _staleness(settings: MeshSettings) -> float:
+    if settings.revocation_time is None:
+        return float("inf")
+    return settings.revocation_time * STALENESS_SHARE
--- /dev/null
+++ b/knapweedlead/sidecar/main.py
@@ -0,0 +1,50 @@
+"""Program of a daemon on the users' platform."""
+
+import asyncio
+import random
+import secrets
+import signal
+import sys
+
+import uvloop
+from result import Err
+
+from knapweedlead.mesh import MeshSettings
+from knapweedlead.platform import boot_path, load_boot_file
+from knapweedlead.sidecar._sidecar import Sidecar
+
+EXIT_BAD_SETTINGS = 2
+
+
+def main() -> None:
+    """Run the daemon until SIGTERM."""
+    path = boot_path()
+    if path is None:
+        print("expected the path of a boot file in the environment", file=sys.stderr)
+        raise SystemExit(EXIT_BAD_SETTINGS)
+    loaded = load_boot_file(path)
+    if isinstance(loaded, Err):
+        print(loaded.err_value, file=sys.stderr)
+        raise SystemExit(EXIT_BAD_SETTINGS)
+    uvloop.run(_serve(loaded.ok_value))
+
+
+async def _serve(settings: MeshSettings) -> None:
+    sidecar = Sidecar(settings, random.Random(secrets.randbits(64)))
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, sidecar)
+    await sidecar.start()
+    await stopped.wait()
+    await sidecar.stop()
+
+
+def _reload(sidecar: Sidecar) -> None:
+    """Note a changed settings file; what it holds is fixed for a process's life."""
+    sidecar.recorder.log("reload", outcome="unchanged")
+
+
+if __name__ == "__main__":
+    main()
--- a/knapweedlead/transport/_links.py
+++ b/knapweedlead/transport/_links.py
@@ -8,9 +8,9 @@
 import attrs
 
 from knapweedlead.errors import LinkError
+from knapweedlead.http._addresses import split_address
 from knapweedlead.messages import Message, encode_message
 from knapweedlead.node import Identity
-from knapweedlead.transport._addresses import split_address
 from knapweedlead.transport._link_connection import (
     OPEN_TIMEOUT,
     AcceptedConnection,
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -17,8 +17,8 @@
 import uvloop
 
 from knapweedlead.calls import DEADLINE, IDEMPOTENCY_KEY, PARENT
+from knapweedlead.http import BackendServerClient, CallerServer, HttpRequest
 from knapweedlead.telemetry import configure_logs, get_logger
-from knapweedlead.transport import BackendServerClient, CallerServer, HttpRequest
 
 _OK = 200
 
--- a/standins/cutting.py
+++ b/standins/cutting.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from knapweedlead.transport import split_address
+from knapweedlead.http import split_address
 
 _CHUNK_BYTES = 65536
 _LINGER_ZERO = struct.pack("ii", 1, 0)
--- a/standins/relayed_daemon.py
+++ b/standins/relayed_daemon.py
@@ -9,7 +9,8 @@
 import fire
 
 from knapweedlead.daemon.main import run_daemon
-from knapweedlead.transport import _links, split_address
+from knapweedlead.http import split_address
+from knapweedlead.transport import _links
 
 
 def run(settings: str, dial: str) -> None:
