--- a/knapweedlead/mesh/__init__.py
+++ b/knapweedlead/mesh/__init__.py
@@ -13,17 +13,30 @@
     Service,
     WeightedService,
 )
+from knapweedlead.mesh._demand import (
+    RouteDemand,
+    merge_rows,
+    slot_time_by_service,
+)
 from knapweedlead.mesh._entry import Entry, EntryCall, EntrySettings
+from knapweedlead.mesh._fleet_state import (
+    FleetChange,
+    FleetState,
+    Member,
+    apply_change,
+)
 from knapweedlead.mesh._freshness import Freshness
 from knapweedlead.mesh._guard import Guard, ServerState, Ticket
-from knapweedlead.mesh._operator_state import OperatorState
+from knapweedlead.mesh._lending import TokenExchange
 from knapweedlead.mesh._placement import PLACEMENTS, Target
 from knapweedlead.mesh._quotas import QuotaShares
+from knapweedlead.mesh._relays import RelayChoice, RelayPeer
 from knapweedlead.mesh._repeats import RepeatBudget
 from knapweedlead.mesh._reports import BackendServer, ServerReport
-from knapweedlead.mesh._roster import Member, Roster
+from knapweedlead.mesh._roster import Roster
 from knapweedlead.mesh._settings import MeshSettings
-from knapweedlead.mesh._store import Change, Item, LeaseGrant, Listing, StorePurpose
+from knapweedlead.mesh._shedding import ServiceLoad, Shedder
+from knapweedlead.mesh._store import LeaseGrant, StorePurpose
 
 __all__ = [
     "PLACEMENTS",
@@ -50,13 +63,20 @@
     "Service",
     "Target",
     "Ticket",
-    "Change",
-    "Item",
     "LeaseGrant",
-    "Listing",
     "Member",
-    "OperatorState",
     "Roster",
     "StorePurpose",
     "WeightedService",
+    "FleetChange",
+    "FleetState",
+    "RelayChoice",
+    "RelayPeer",
+    "TokenExchange",
+    "apply_change",
+    "RouteDemand",
+    "merge_rows",
+    "slot_time_by_service",
+    "ServiceLoad",
+    "Shedder",
 ]
--- a/knapweedlead/mesh/_calls.py
+++ b/knapweedlead/mesh/_calls.py
@@ -55,6 +55,7 @@
     UNKNOWN_ROUTE = "unknown_route"
     INVALID_KEY = "invalid_key"
     RATE_EXCEEDED = "rate_exceeded"
+    SHED = "shed"
     OVERLOADED = "overloaded"
     QUEUE_TIMEOUT = "queue_timeout"
     COLD = "cold"
--- a/knapweedlead/mesh/_entry.py
+++ b/knapweedlead/mesh/_entry.py
@@ -11,9 +11,11 @@
 from knapweedlead.mesh._calls import Call, Failure, Reason, ServerAnswer
 from knapweedlead.mesh._configuration import ClientAccount, MeshConfiguration, Route
 from knapweedlead.mesh._freshness import Freshness
+from knapweedlead.mesh._lending import TokenExchange
 from knapweedlead.mesh._placement import Placement, Target
 from knapweedlead.mesh._quotas import QuotaShares
 from knapweedlead.mesh._repeats import RepeatBudget
+from knapweedlead.mesh._shedding import Shedder
 
 MAX_REROUTES = 3
 """Other servers that are asked after a guard refused a call, which costs no
@@ -23,9 +25,16 @@
 DEFAULT_RETRY_AFTER = 0.3
 """Seconds told to callers where no better figure is known; about the time in which
 queues of a full service drain."""
+SHED_RETRY_MIN = 0.2
+SHED_RETRY_SPREAD = 0.5
+"""Retry-After of a shed call, in target latencies: late enough for queues to drain,
+early enough for a useful answer, and spread so that callers do not return at once."""
 FAILURE_STATUS = 500
 """Status of a server's own failure, which another server may not share."""
 
+RANKS_PER_PRIORITY = 16
+"""Ranks of calls within one priority."""
+
 _STATUS_BY_REASON = {
     Reason.MALFORMED: 400,
     Reason.UNKNOWN_ROUTE: 404,
@@ -79,6 +88,11 @@
     last: Failure | None = None
     on_done: Callable[[Any], Any] | None = None
 
+    @property
+    def is_child(self) -> bool:
+        """Whether the own backend server made the call, so that work went before."""
+        return self.account is None and self.route.is_public
+
     @property
     def account_name(self) -> str:
         """Name of the client account; empty where there is none."""
@@ -125,7 +139,11 @@
         Kept up to date by whoever knows the fleet.
     placement : Placement
     quotas : QuotaShares
+    tokens : TokenExchange
     freshness : Freshness
+    shedder : Shedder
+    on_child : callable
+        Takes the route of a call of the own backend server.
     replies : Replies
     recorder : Recorder
     rng : random.Random
@@ -137,7 +155,10 @@
         targets_by_service: dict[str, list[Target]],
         placement: Placement,
         quotas: QuotaShares,
+        tokens: TokenExchange,
         freshness: Freshness,
+        shedder: Shedder,
+        on_child: Callable[[str], None],
         replies: Replies,
         recorder: Recorder,
         rng: random.Random,
@@ -146,7 +167,10 @@
         self.targets_by_service = targets_by_service
         self.placement = placement
         self.quotas = quotas
+        self.tokens = tokens
         self.freshness = freshness
+        self.shedder = shedder
+        self.on_child = on_child
         self.replies = replies
         self.recorder = recorder
         self.rng = rng
@@ -162,38 +186,73 @@
         """Take a call in; it is answered through `replies`."""
         configuration = self.configuration
         if configuration is None:
-            return self._refuse(exchange, call, Reason.NO_CONFIGURATION)
+            self._refuse(exchange, call, Reason.NO_CONFIGURATION)
+            return None
         route = configuration.route_of(call.host, call.path)
         if route is None:
-            return self._refuse(exchange, call, Reason.UNKNOWN_ROUTE)
+            self._refuse(exchange, call, Reason.UNKNOWN_ROUTE)
+            return None
         account = None
         if configuration.needs_keys and not route.is_public:
             account = configuration.account_by_key.get(call.key or "")
             if account is None:
-                return self._refuse(exchange, call, Reason.INVALID_KEY)
+                self._refuse(exchange, call, Reason.INVALID_KEY)
+                return None
             if not self.freshness.is_fresh(now, self.settings.max_staleness):
-                return self._refuse(exchange, call, Reason.STALE_CONFIGURATION, 1.0)
-            if not self.quotas.take(account, now):
-                retry_after = self.quotas.next_token_in(account, now)
-                return self._refuse(exchange, call, Reason.RATE_EXCEEDED, retry_after)
+                self._refuse(exchange, call, Reason.STALE_CONFIGURATION, 1.0)
+                return None
         entry_call = EntryCall(
             exchange=exchange,
             call=call,
             route=route,
             service=route.choose_service(self.rng),
             account=account,
-            priority=_priority_of(route, account),
+            priority=rank_of(route, account),
             arrived_at=now,
             deadline=now + min(call.patience, route.timeout),
             number=next(self._numbers),
-            has_token=account is not None,
         )
-        self.repeats.note_first(entry_call.service)
         self.call_by_number[entry_call.number] = entry_call
         heapq.heappush(self._deadlines, (entry_call.deadline, entry_call.number))
-        self._send(entry_call, now)
+        self._meter(entry_call, now)
         return entry_call
 
+    def _meter(self, call: EntryCall, now: float) -> None:
+        """Take a token for a call, from another daemon if there is none here."""
+        account = call.account
+        if account is None or self.quotas.take(account, now):
+            self._begin(call, now)
+            return
+        asked = self.tokens.ask(
+            account, lambda is_granted: self._decide(call, is_granted, now), now
+        )
+        if not asked:
+            self._decide(call, False, now)
+
+    def _decide(self, call: EntryCall, is_granted: bool, now: float) -> None:
+        account = call.account
+        assert account is not None
+        if call.is_done:
+            if is_granted:
+                self.quotas.give_back(account)
+        elif is_granted:
+            self._begin(call, now)
+        else:
+            retry_after = self.quotas.next_token_in(account)
+            failure = Failure(Reason.RATE_EXCEEDED, False, retry_after=retry_after)
+            self._give_up(call, failure, now)
+
+    def _begin(self, call: EntryCall, now: float) -> None:
+        """Send a call for the first time."""
+        call.has_token = call.account is not None
+        if call.is_child:
+            self.on_child(call.route.name)
+        elif not self.shedder.admit(call.route.name, call.priority):
+            self._shed(call, now)
+            return
+        self.repeats.note_first(call.service)
+        self._send(call, now)
+
     def _refuse(
         self,
         exchange: Any,
@@ -205,6 +264,12 @@
         self.recorder.refused(call.request_id, reason, status, None)
         self.replies.refuse(exchange, status, reason, retry_after)
 
+    def _shed(self, call: EntryCall, now: float) -> None:
+        """Refuse a call whose tree would end at a service that is full."""
+        spread = SHED_RETRY_MIN + SHED_RETRY_SPREAD * self.rng.random()
+        retry_after = spread * call.route.target_latency
+        self._give_up(call, Failure(Reason.SHED, False, retry_after=retry_after), now)
+
     # Attempts.
 
     def _send(self, call: EntryCall, now: float) -> None:
@@ -281,13 +346,16 @@
 
     def _give_up(self, call: EntryCall, failure: Failure, now: float) -> None:
         self._forget(call)
-        status = _STATUS_UNKNOWN if call.may_have_run else _STATUS_NOT_RUN
+        status = _STATUS_BY_REASON.get(failure.reason, _STATUS_NOT_RUN)
+        if call.may_have_run:
+            status = _STATUS_UNKNOWN
         if call.deadline <= now and call.may_have_run:
             status = _STATUS_TIMEOUT
         if not call.may_have_run and call.has_token and call.account is not None:
             self.quotas.give_back(call.account)
-        retry_after = failure.retry_after or DEFAULT_RETRY_AFTER
-        retry_after *= 1.0 + self.rng.random()
+        retry_after = failure.retry_after
+        if retry_after <= 0.0:
+            retry_after = DEFAULT_RETRY_AFTER * (1.0 + self.rng.random())
         self.recorder.refused(call.call.request_id, failure.reason, status, call)
         self.replies.refuse(call.exchange, status, failure.reason, retry_after)
 
@@ -332,7 +400,14 @@
         return not self.call_by_number
 
 
-def _priority_of(route: Route, account: ClientAccount | None) -> int:
-    if account is None or account.priority is None:
-        return route.priority
-    return account.priority
+def rank_of(route: Route, account: ClientAccount | None) -> int:
+    """Return how important a call is; 0 is the most important.
+
+    The account's priority goes before the route's. Among equals, calls of backend
+    servers go first, since work has been done for them, then the route decides.
+    """
+    if account is None:
+        return route.priority * RANKS_PER_PRIORITY
+    priority = route.priority if account.priority is None else account.priority
+    below = min(RANKS_PER_PRIORITY - 1, 1 + route.priority)
+    return priority * RANKS_PER_PRIORITY + below
--- /dev/null
+++ b/knapweedlead/mesh/_fleet_state.py
@@ -0,0 +1,90 @@
+"""What the store holds for the fleet, as far as a daemon knows."""
+
+from collections.abc import Iterable
+
+import attrs
+
+
+@attrs.frozen
+class Member:
+    """A daemon of the fleet; `link_address` is ``IP:PORT``."""
+
+    name: str
+    link_address: str
+    service: str
+    data_centre: str
+
+
+@attrs.frozen
+class FleetState:
+    """Declarations of operators and the list of members, as of a revision.
+
+    Parameters
+    ----------
+    revision : int
+        Revision of the store up to which all changes are in; 0 where nothing is
+        known.
+    configuration : bytes
+        The newest configuration, encoded; empty where there is none.
+    configuration_revision : int
+        Revision at which it was written.
+    evacuated : frozenset of str
+        Data centres that are out of service.
+    member_by_name : dict of str to Member
+    """
+
+    revision: int = 0
+    configuration: bytes = b""
+    configuration_revision: int = 0
+    evacuated: frozenset[str] = frozenset()
+    member_by_name: dict[str, Member] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class FleetChange:
+    """Changes between two revisions of the store.
+
+    Parameters
+    ----------
+    revision : int
+        Revision up to which the changes are whole.
+    configuration : bytes or None
+        Where it changed.
+    configuration_revision : int
+    evacuated, returned : tuple of str
+        Data centres taken out and back, each as last declared.
+    joined : tuple of Member
+        Members added or changed.
+    left : tuple of str
+        Names of members whose lease has ended.
+    """
+
+    revision: int
+    configuration: bytes | None = None
+    configuration_revision: int = 0
+    evacuated: tuple[str, ...] = ()
+    returned: tuple[str, ...] = ()
+    joined: tuple[Member, ...] = ()
+    left: tuple[str, ...] = ()
+
+
+def apply_change(state: FleetState, change: FleetChange) -> FleetState:
+    """Return the state after a change."""
+    member_by_name = _without(state.member_by_name, change.left)
+    member_by_name |= {member.name: member for member in change.joined}
+    evacuated = state.evacuated - frozenset(change.returned)
+    is_new = change.configuration is not None
+    return FleetState(
+        revision=max(state.revision, change.revision),
+        configuration=change.configuration or state.configuration,
+        configuration_revision=(
+            change.configuration_revision if is_new else state.configuration_revision
+        ),
+        evacuated=evacuated | frozenset(change.evacuated),
+        member_by_name=member_by_name,
+    )
+
+
+def _without(by_name: dict[str, Member], names: Iterable[str]) -> dict[str, Member]:
+    dropped = set(names)
+    return {name: member for name, member in by_name.items() if name not in dropped}
--- a/knapweedlead/mesh/_guard.py
+++ b/knapweedlead/mesh/_guard.py
@@ -10,6 +10,7 @@
 from knapweedlead.mesh._calls import Failure, Reason, ServerAnswer
 from knapweedlead.mesh._cold_gate import ColdGate
 from knapweedlead.mesh._configuration import MeshConfiguration
+from knapweedlead.mesh._demand import DemandModel
 from knapweedlead.mesh._reports import BackendServer, ServerReport
 
 SERVICE_TIME_SMOOTHING = 0.05
@@ -39,7 +40,7 @@
         Given by the entry, unique for its link.
     sender : Sender
         Takes the end of the call.
-    request_id, service, account : str
+    request_id, service, route, account : str
     priority : int
     is_idempotent : bool
     deadline : float
@@ -53,6 +54,7 @@
     sender: "Sender"
     request_id: str
     service: str
+    route: str
     account: str
     priority: int
     is_idempotent: bool
@@ -99,7 +101,7 @@
     running, queued, limit : int
         Calls at the server, calls that wait, calls that it takes at once.
     service_time : float
-        Mean seconds for a call.
+        Mean seconds for a call; 0.0 before the first one has ended.
     is_cold : bool
     failure_share : float
         Part of the recent calls that failed or were rejected.
@@ -111,7 +113,7 @@
     running: int = 0
     queued: int = 0
     limit: int = 0
-    service_time: float = INITIAL_SERVICE_TIME
+    service_time: float = 0.0
     is_cold: bool = False
     failure_share: float = 0.0
 
@@ -145,7 +147,9 @@
         self.queue = QUEUES.create("priority_fair")
         self.running_by_run: dict[int, Ticket] = {}
         self.waiting_by_run: dict[int, Ticket] = {}
+        self.demand = DemandModel()
         self.service_time = INITIAL_SERVICE_TIME
+        self._has_timed = False
         self.failure_share = 0.0
         self.is_evacuated = False
         self.is_stopping = False
@@ -164,6 +168,7 @@
             return False
         if before is None or before.instance != report.instance:
             self.failure_share = 0.0
+            self._has_timed = False
         self._changed(now)
         return True
 
@@ -239,7 +244,7 @@
             running=len(self.running_by_run),
             queued=len(self.waiting_by_run),
             limit=self.limit,
-            service_time=self.service_time,
+            service_time=self.service_time if self._has_timed else 0.0,
             is_cold=self.is_cold(now),
             failure_share=self.failure_share,
         )
@@ -293,7 +298,7 @@
         queued = QueuedCall(
             run=ticket.run,
             account=ticket.account,
-            route="",
+            route=ticket.route,
             priority=ticket.priority,
             weight=1.0,
             arrived_at=now,
@@ -320,6 +325,7 @@
         ticket.started_at = now
         self.running_by_run[ticket.run] = ticket
         self.cold_gate.note_start(now)
+        self.demand.note_run(ticket.route)
         self.runner.run(ticket, report.instance, ticket.deadline - now)
 
     def _start_waiting(self, now: float) -> None:
@@ -338,8 +344,8 @@
     def answered(self, ticket: Ticket, answer: ServerAnswer, now: float) -> None:
         """Pass an answer of the backend server on and start the next call."""
         self._end(ticket)
-        elapsed = now - ticket.started_at
-        self.service_time += SERVICE_TIME_SMOOTHING * (elapsed - self.service_time)
+        self._note_time(now - ticket.started_at)
+        self.demand.note_hold(ticket.route, now - ticket.started_at)
         self._note_outcome(False)
         ticket.sender.answered(ticket, answer)
         self._start_waiting(now)
@@ -372,6 +378,12 @@
         ticket.sender.failed(ticket, failure)
         self._start_waiting(now)
 
+    def _note_time(self, elapsed: float) -> None:
+        if not self._has_timed:
+            self._has_timed = True
+            self.service_time = elapsed
+        self.service_time += SERVICE_TIME_SMOOTHING * (elapsed - self.service_time)
+
     def _end(self, ticket: Ticket) -> None:
         self.running_by_run.pop(ticket.run, None)
 
--- a/knapweedlead/mesh/_placement.py
+++ b/knapweedlead/mesh/_placement.py
@@ -60,6 +60,10 @@
         """Return the target for a call, or None where none is open."""
 
 
+UNKNOWN_SERVICE_TIME = 0.01
+"""Seconds assumed of a server that has answered nothing yet; short, so that it is
+tried soon."""
+
 PLACEMENTS: Registry[Placement] = Registry("placement")
 
 
@@ -130,7 +134,8 @@
     def _cost(self, target: Target) -> float:
         state = target.state
         utilization = (target.load + 1) / max(1, state.limit)
-        cost = state.service_time * (1.0 + utilization + 6.0 * utilization**6)
+        service_time = state.service_time or UNKNOWN_SERVICE_TIME
+        cost = service_time * (1.0 + utilization + 6.0 * utilization**6)
         cost /= max(0.05, 1.0 - state.failure_share) ** 2
         if target.data_centre != self.data_centre:
             cost *= self.distance_factor
--- a/knapweedlead/mesh/_quotas.py
+++ b/knapweedlead/mesh/_quotas.py
@@ -1,9 +1,19 @@
 """Rates of client accounts, divided among the daemons of a fleet."""
 
+import zlib
+
 import attrs
 
 from knapweedlead.mesh._configuration import ClientAccount
 
+EVEN_PART = 0.6
+"""Part of a burst that is given out evenly; the rest may be used at once."""
+MIN_SHARE = 4.0
+"""Tokens that a daemon can save up at least; smaller parts would mostly lie unused
+where no call comes."""
+MIN_HOLDERS = 3
+"""Daemons that hold a share of an account at least, so that one may be lost."""
+
 
 @attrs.define(eq=False)
 class _Bucket:
@@ -14,33 +24,60 @@
 class QuotaShares:
     """Share of each client account's rate and burst that this daemon may use.
 
-    Each of ``members`` daemons admits a part of the rate, so that all of them
-    together stay within it without asking each other. Tokens can be lent to
-    another daemon, which moves them and makes none.
+    A number of daemons hold a part of the rate each, so that all of them together
+    stay within it without asking each other. Tokens can be lent to another daemon,
+    which moves them and makes none. All daemons hold a part of a large account, a
+    few hold those of a small one.
+
+    What holds is a bound on each window: the rate times its length and the burst. A
+    part of the burst is given out evenly over the window, so that an account which
+    stays somewhat above its rate is not refused what the bound allows.
 
     Parameters
     ----------
+    own_name : str
+    window : float
+        Seconds of the window over which rate and burst are bounded.
     started_at : float
         Start of this daemon. Bursts are saved up from then, since a daemon of the
         same name may have spent its burst just before.
     """
 
-    def __init__(self, started_at: float) -> None:
+    def __init__(self, own_name: str, window: float, started_at: float) -> None:
+        self.own_name = own_name
+        self.window = window
         self.started_at = started_at
-        self.members = 1
+        self._members: frozenset[str] = frozenset({own_name})
         self._bucket_by_account: dict[str, _Bucket] = {}
+        self._holders_by_account: dict[ClientAccount, frozenset[str]] = {}
 
     def set_members(
-        self, members: int, now: float, by_name: dict[str, ClientAccount]
+        self, members: frozenset[str], now: float, by_name: dict[str, ClientAccount]
     ) -> None:
-        """Divide by another number of daemons from now on."""
+        """Divide among other daemons, or by other limits, from now on."""
+        members |= {self.own_name}
         for name in list(self._bucket_by_account):
             account = by_name.get(name)
             if account is None:
                 del self._bucket_by_account[name]
             else:
                 self._advance(account, now)
-        self.members = max(1, members)
+        if members != self._members:
+            self._members = members
+            self._holders_by_account.clear()
+
+    def holders(self, account: ClientAccount) -> frozenset[str]:
+        """Return the daemons that hold a part of an account."""
+        holders = self._holders_by_account.get(account)
+        if holders is None:
+            wanted = max(MIN_HOLDERS, int(self._savable(account) / MIN_SHARE))
+            ranked = sorted(
+                self._members,
+                key=lambda name: zlib.crc32(f"{account.name} {name}".encode()),
+            )
+            holders = frozenset(ranked[:wanted])
+            self._holders_by_account[account] = holders
+        return holders
 
     def take(self, account: ClientAccount, now: float) -> bool:
         """Take one token; return whether there was one."""
@@ -58,15 +95,14 @@
         if bucket is not None:
             bucket.tokens += 1.0
 
-    def next_token_in(self, account: ClientAccount, now: float) -> float:
-        """Return the seconds until a token is there."""
-        bucket = self._advance(account, now)
-        return max(0.0, 1.0 - bucket.tokens) * self.members / account.rate
+    def next_token_in(self, account: ClientAccount) -> float:
+        """Return the seconds after which the whole fleet has earned some tokens."""
+        return len(self._members) / max(account.rate, 1.0)
 
     def lend(self, account: ClientAccount, wanted: int, now: float) -> int:
-        """Give up to `wanted` tokens away, and at most half of what is there."""
+        """Give tokens away: up to `wanted`, and half of what is there, or one."""
         bucket = self._advance(account, now)
-        lent = min(wanted, int(bucket.tokens / 2.0))
+        lent = min(wanted, max(int(bucket.tokens / 2.0), int(bucket.tokens >= 1.0)))
         bucket.tokens -= lent
         return lent
 
@@ -74,17 +110,30 @@
         """Add tokens that another daemon gave away."""
         self._advance(account, now).tokens += tokens
 
+    def wanted(self, account: ClientAccount, seconds: float) -> int:
+        """Return the tokens that this daemon may need for some seconds."""
+        return 1 + int(account.rate * seconds / len(self._members))
+
     def tokens(self, account: ClientAccount, now: float) -> float:
         """Return the tokens at hand."""
         return self._advance(account, now).tokens
 
     def _advance(self, account: ClientAccount, now: float) -> _Bucket:
-        cap = account.burst / self.members
         bucket = self._bucket_by_account.get(account.name)
         if bucket is None:
             bucket = _Bucket(0.0, self.started_at)
             self._bucket_by_account[account.name] = bucket
-        earned = (now - bucket.updated_at) * account.rate / self.members
+        elapsed = now - bucket.updated_at
         bucket.updated_at = now
-        bucket.tokens = min(max(cap, bucket.tokens), bucket.tokens + earned)
+        holders = self.holders(account)
+        if self.own_name in holders:
+            cap = self._savable(account) / len(holders)
+            earned = elapsed * self._rate(account) / len(holders)
+            bucket.tokens = min(max(cap, bucket.tokens), bucket.tokens + earned)
         return bucket
+
+    def _savable(self, account: ClientAccount) -> float:
+        return account.burst * (1.0 - EVEN_PART)
+
+    def _rate(self, account: ClientAccount) -> float:
+        return account.rate + account.burst * EVEN_PART / self.window
--- a/knapweedlead/mesh/_settings.py
+++ b/knapweedlead/mesh/_settings.py
@@ -34,6 +34,8 @@
         Within which a withdrawn key must stop working; None where no bound holds.
     repeat_ratio, repeat_extra : float
         The fleet's budget of repeats: a share of the calls, and a number besides.
+    quota_window : float
+        Window over which an account's rate and burst are bounded.
     lease_time_min : float
         Shortest lease that the store grants.
     memory_mb : int
@@ -58,5 +60,6 @@
     revocation_time: float | None
     repeat_ratio: float
     repeat_extra: float
+    quota_window: float
     lease_time_min: float
     memory_mb: int
--- a/knapweedlead/platform/__init__.py
+++ b/knapweedlead/platform/__init__.py
@@ -1,12 +1,7 @@
 """Adapter to the users' platform: its names, formats and calls; decides nothing."""
 
 from knapweedlead.platform._boot import boot_path, load_boot_file
-from knapweedlead.platform._configuration import (
-    CONFIGURATION_KEY,
-    EVACUATION_PREFIX,
-    OPERATOR_PREFIX,
-    decode_configuration,
-)
+from knapweedlead.platform._configuration import decode_configuration
 from knapweedlead.platform._heartbeats import (
     DEREGISTER_PATH,
     HEARTBEAT_PATH,
@@ -24,11 +19,8 @@
 from knapweedlead.platform._store import PlatformStore
 
 __all__ = [
-    "CONFIGURATION_KEY",
     "DEREGISTER_PATH",
-    "EVACUATION_PREFIX",
     "HEARTBEAT_PATH",
-    "OPERATOR_PREFIX",
     "REQUEST_ID",
     "PlatformStore",
     "answer_headers",
--- a/knapweedlead/platform/_boot.py
+++ b/knapweedlead/platform/_boot.py
@@ -48,6 +48,7 @@
             ),
             repeat_ratio=float(bounds["budgetRatio"]),
             repeat_extra=float(bounds["budgetExtra"]),
+            quota_window=float(bounds["quotaWindowS"]),
             lease_time_min=document["platform"]["ttlMinMs"] / _MS_PER_S,
             memory_mb=int(document["limits"]["memoryMb"]),
         )
--- a/knapweedlead/platform/_configuration.py
+++ b/knapweedlead/platform/_configuration.py
@@ -14,10 +14,7 @@
     Service,
     WeightedService,
 )
-
-CONFIGURATION_KEY = "op/config"
-EVACUATION_PREFIX = "op/evacuate/"
-OPERATOR_PREFIX = "op/"
+from knapweedlead.platform._keys import CONFIGURATION_KEY
 
 _MS_PER_S = 1000.0
 _VERSION_MARK = "r"
--- a/knapweedlead/platform/_store.py
+++ b/knapweedlead/platform/_store.py
@@ -1,7 +1,6 @@
 """Client of the platform's metadata store."""
 
 import asyncio
-import base64
 import itertools
 import json
 from collections.abc import Callable
@@ -13,12 +12,14 @@
 from knapweedlead.errors import StoreError, StoreFault
 from knapweedlead.http import BackendServerClient, HttpAnswer
 from knapweedlead.mesh import (
-    Change,
-    Item,
+    FleetChange,
+    FleetState,
     LeaseGrant,
-    Listing,
+    Member,
     StorePurpose,
+    apply_change,
 )
+from knapweedlead.platform._keys import decode_changes, encode_member
 
 WATCH_MARGIN = 1.0
 """Seconds that the answer of a watch may take beyond the time it was asked to wait."""
@@ -59,52 +60,47 @@
             address, MAX_CONNECTIONS, self._answered, self._failed
         )
 
-    async def list(
-        self, prefix: str, purpose: StorePurpose
-    ) -> Result[Listing, StoreError]:
-        """Read all items under a prefix, page by page."""
-        items: list[Item] = []
+    async def read_state(self) -> Result[FleetState, StoreError]:
+        """Read all that the store holds for the fleet, page by page."""
+        entries: list[dict[str, Any]] = []
         revision = 0
         after = ""
         while True:
-            query = {"prefix": prefix} | ({"after": after} if after else {})
+            query = {"prefix": ""} | ({"after": after} if after else {})
             path = f"/-/kv-range?{urlencode(query)}"
-            result = await self._call("GET", path, None, purpose, self.timeout)
+            result = await self._call(
+                "GET", path, None, StorePurpose.START, self.timeout
+            )
             if isinstance(result, Err):
                 return result
             page = result.ok_value
-            items += [_item(entry) for entry in page["items"]]
+            entries += page["items"]
             # Pages are no snapshot: watching from the first one misses nothing.
             revision = revision or page["at"]
             if not page["hasMore"] or not page["items"]:
-                return Ok(Listing(tuple(items), revision))
+                return Ok(apply_change(FleetState(), decode_changes(entries, revision)))
             after = page["items"][-1]["key"]
 
-    async def watch(
-        self, prefix: str, after: int, wait: float, purpose: StorePurpose
-    ) -> Result[Change, StoreError]:
-        """Wait for changes under a prefix after a revision."""
+    async def watch_state(
+        self, after: int, wait: float
+    ) -> Result[FleetChange, StoreError]:
+        """Wait for changes after a revision."""
         wait_ms = int(wait * _MS_PER_S)
-        query = urlencode({"prefix": prefix, "after": after, "waitMs": wait_ms})
-        path = f"/-/kv-watch?{query}"
+        query = urlencode({"prefix": "", "after": after, "waitMs": wait_ms})
         timeout = wait + max(WATCH_MARGIN, self.timeout)
-        result = await self._call("GET", path, None, purpose, timeout)
+        result = await self._call(
+            "GET", f"/-/kv-watch?{query}", None, StorePurpose.WATCH, timeout
+        )
         if isinstance(result, Err):
             return result
-        events = result.ok_value["events"]
-        return Ok(
-            Change(
-                written=tuple(_item(e) for e in events if not e.get("deleted")),
-                removed=tuple(e["key"] for e in events if e.get("deleted")),
-                revision=result.ok_value["at"],
-            )
-        )
+        page = result.ok_value
+        return Ok(decode_changes(page["events"], page["at"]))
 
     async def grant_lease(self, duration: float) -> Result[LeaseGrant, StoreError]:
         """Create a lease."""
         body = {"ttlMs": int(duration * _MS_PER_S)}
         result = await self._call(
-            "POST", "/-/kv-lease", body, StorePurpose.MEMBERSHIP, self.timeout
+            "POST", "/-/kv-lease", body, StorePurpose.REGISTRATION, self.timeout
         )
         if isinstance(result, Err):
             return result
@@ -122,20 +118,15 @@
         """End a lease, which removes its keys."""
         path = f"/-/kv-lease-end/{lease}"
         result = await self._call(
-            "DELETE", path, None, StorePurpose.MEMBERSHIP, self.timeout
+            "DELETE", path, None, StorePurpose.REGISTRATION, self.timeout
         )
         return result if isinstance(result, Err) else Ok(None)
 
-    async def put(self, key: str, value: bytes, lease: int) -> Result[None, StoreError]:
-        """Write a key that lasts as long as a lease."""
-        encoded = base64.b64encode(value).decode("ascii")
-        body = {
-            "expect": [],
-            "puts": [{"key": key, "value": encoded, "lease": lease}],
-            "remove": [],
-        }
+    async def register(self, member: Member, lease: int) -> Result[None, StoreError]:
+        """List a member for as long as a lease lasts."""
+        body = {"expect": [], "puts": [encode_member(member, lease)], "remove": []}
         result = await self._call(
-            "POST", "/-/kv-txn", body, StorePurpose.MEMBERSHIP, self.timeout
+            "POST", "/-/kv-txn", body, StorePurpose.REGISTRATION, self.timeout
         )
         return result if isinstance(result, Err) else Ok(None)
 
@@ -209,7 +200,3 @@
         f"content-type: application/json\r\ncontent-length: {len(content)}\r\n\r\n"
     )
     return head.encode("ascii") + content
-
-
-def _item(entry: dict[str, Any]) -> Item:
-    return Item(entry["key"], base64.b64decode(entry["value"]), entry["revision"])
--- a/knapweedlead/sidecar/_links.py
+++ b/knapweedlead/sidecar/_links.py
@@ -11,9 +11,11 @@
     Entry,
     EntryCall,
     Failure,
+    FleetState,
     Guard,
     Member,
-    OperatorState,
+    RelayPeer,
+    RouteDemand,
     ServerAnswer,
     Target,
     Ticket,
@@ -23,10 +25,11 @@
     FrameKind,
     PeerState,
     call_frame,
+    demand_of,
     failure_frame,
     failure_of,
-    operator_frame,
-    operator_state_of,
+    fleet_frame,
+    fleet_state_of,
 )
 
 ASK_PERIOD = 0.5
@@ -47,22 +50,25 @@
 
     entry: Entry
     guard: Guard
+    fleet_state: FleetState
 
     def clock(self) -> float:
         """Return the present time."""
 
-    @property
-    def operator_state(self) -> OperatorState:
-        """Operator state in force."""
-
     def peer_state(self, asked_at: float, heard_at: float) -> PeerState:
         """Return what to tell a peer that asked."""
 
     def take_peer_state(self, target: Target, state: PeerState) -> bool:
         """Take what a peer tells; return whether it knows a newer configuration."""
 
-    def take_operator_state(self, state: OperatorState, source: str) -> None:
-        """Take a peer's operator state."""
+    def take_fleet_state(self, state: FleetState, source: str) -> None:
+        """Take a peer's fleet state."""
+
+    def take_tokens(self, account: str, tokens: int) -> None:
+        """Take tokens that a peer lent."""
+
+    def lend_tokens(self, account: str, wanted: int) -> int:
+        """Return the tokens lent to a peer."""
 
     def link_changed(self, name: str, is_up: bool, detail: str) -> None:
         """Record that a link was opened or lost."""
@@ -83,6 +89,14 @@
     heard_at: float = 0.0
     retry_at: float = 0.0
     is_removed: bool = False
+    is_watching: bool = False
+    rows: dict[str, RouteDemand] = attrs.field(factory=dict)
+    demand_by_service: dict[str, float] = attrs.field(factory=dict)
+
+    @property
+    def name(self) -> str:
+        """Name of the peer."""
+        return self.member.name
 
     def tick(self, now: float) -> None:
         """Open, question or drop the link."""
@@ -161,18 +175,32 @@
             self.host.entry.failed(frame[1], failure_of(frame), now)
         elif kind == FrameKind.STATE:
             self._take_state(PeerState.of(frame))
-        elif kind == FrameKind.OPERATOR_STATE:
-            state = operator_state_of(frame)
-            self.host.take_operator_state(state, self.member.name)
+        elif kind == FrameKind.FLEET_STATE:
+            state = fleet_state_of(frame, self.host.fleet_state)
+            self.host.take_fleet_state(state, self.member.name)
+        elif kind == FrameKind.DEMAND:
+            self.rows, self.demand_by_service = demand_of(frame)
+        elif kind == FrameKind.TOKENS:
+            self.host.take_tokens(frame[1], frame[2])
 
     def _take_state(self, state: PeerState) -> None:
         if not self.target.is_up:
             self.target.is_up = True
             self.host.link_changed(self.member.name, True, "")
+        self.is_watching = state.is_watching
         self.target.take_state(state.server)
         if self.host.take_peer_state(self.target, state):
-            assert self.connection is not None
-            self.connection.send([FrameKind.WANT_OPERATOR_STATE.value])
+            self._want_fleet_state()
+
+    def _want_fleet_state(self) -> None:
+        assert self.connection is not None
+        known = self.host.fleet_state.configuration_revision
+        self.connection.send([FrameKind.WANT_FLEET_STATE.value, known])
+
+    def ask_tokens(self, account: str, wanted: int) -> None:
+        """Ask the peer for tokens of an account."""
+        assert self.connection is not None
+        self.connection.send([FrameKind.WANT_TOKENS.value, account, wanted])
 
 
 class AcceptedLink:
@@ -198,18 +226,22 @@
             self._asked_at = frame[1]
             self._heard_at = self.host.clock()
             self.tell()
-        elif kind == FrameKind.WANT_OPERATOR_STATE:
-            self.connection.send(operator_frame(self.host.operator_state))
+        elif kind == FrameKind.WANT_FLEET_STATE:
+            self.connection.send(fleet_frame(self.host.fleet_state, frame[1]))
+        elif kind == FrameKind.WANT_TOKENS:
+            lent = self.host.lend_tokens(frame[1], frame[2])
+            self.connection.send([FrameKind.TOKENS.value, frame[1], lent])
 
     def _take_call(self, frame: list[Any]) -> None:
         now = self.host.clock()
-        _, number, request_id, service, account, priority, is_idempotent, *rest = frame
-        remaining, head, body, is_head_method = rest
+        _, number, request_id, service, route, account, priority, *rest = frame
+        is_idempotent, remaining, head, body, is_head_method = rest
         ticket = Ticket(
             number=number,
             sender=self,
             request_id=request_id,
             service=service,
+            route=route,
             account=account,
             priority=priority,
             is_idempotent=is_idempotent,
@@ -274,6 +306,7 @@
             sender=self,
             request_id=call.call.request_id,
             service=call.service,
+            route=call.route.name,
             account=call.account_name,
             priority=call.priority,
             is_idempotent=call.route.is_idempotent,
@@ -382,6 +415,11 @@
         for link in self.outgoing_by_name.values():
             link.tick(now)
 
+    def tell_demand(self, frame: list[Any]) -> None:
+        """Send all peers a demand frame."""
+        for link in self.accepted.values():
+            link.connection.send(frame)
+
     def tell_all(self) -> None:
         """Tell all peers the own state."""
         for link in self.accepted.values():
@@ -392,6 +430,16 @@
         """Number of links that take calls."""
         return sum(link.target.is_up for link in self.outgoing_by_name.values())
 
+    def lenders(self) -> list[OutgoingLink]:
+        """Return the links over which tokens can be asked for."""
+        return [link for link in self.outgoing_by_name.values() if link.target.is_up]
+
+    def relay_peers(self) -> list[RelayPeer]:
+        """Return the daemons that can be reached."""
+        return [
+            RelayPeer(link.member.name, link.is_watching) for link in self.lenders()
+        ]
+
     def close(self) -> None:
         """Close the listener and all links."""
         if self._server is not None:
--- a/knapweedlead/sidecar/_sidecar.py
+++ b/knapweedlead/sidecar/_sidecar.py
@@ -10,15 +10,22 @@
     Call,
     Entry,
     EntrySettings,
+    FleetState,
     Freshness,
     Guard,
     Member,
+    MeshConfiguration,
     MeshSettings,
-    OperatorState,
     QuotaShares,
+    RelayChoice,
     Roster,
     ServerReport,
+    ServiceLoad,
+    Shedder,
     Target,
+    TokenExchange,
+    merge_rows,
+    slot_time_by_service,
 )
 from knapweedlead.platform import PlatformStore, decode_configuration
 from knapweedlead.sidecar._clock import read_clock
@@ -27,10 +34,12 @@
 from knapweedlead.sidecar._recorder import MeshRecorder
 from knapweedlead.sidecar._runner import ServerRunner
 from knapweedlead.sidecar._store_sync import StoreSync
-from knapweedlead.sidecar._wire import PeerState
+from knapweedlead.sidecar._wire import PeerState, demand_frame
 
 TICK = 0.02
 """Seconds between looks at deadlines and waiting calls."""
+LOOK_PERIOD = 0.25
+"""Seconds between looks at the loads of all services."""
 STALENESS_SHARE = 0.8
 """Part of the revocation time after which an unconfirmed configuration admits no
 keys; the rest is for the call on its way to the backend server."""
@@ -60,7 +69,9 @@
         self.rng = rng
         self.clock = read_clock
         self.recorder = MeshRecorder(settings.name)
-        self.operator_state = OperatorState()
+        self.fleet_state = FleetState()
+        self.relay_choice = RelayChoice(settings.name)
+        self.is_watching = False
         self.freshness = Freshness()
         self.roster = Roster()
         self.runner = ServerRunner(settings.server_address, self.clock)
@@ -79,7 +90,7 @@
         )
         self.own_target.is_up = True
         self.local.target = self.own_target
-        self.quotas = QuotaShares(self.clock())
+        self.quotas = QuotaShares(settings.name, settings.quota_window, self.clock())
         self.targets_by_service: dict[str, list[Target]] = {}
         self.entry = Entry(
             EntrySettings(
@@ -90,7 +101,10 @@
             self.targets_by_service,
             PLACEMENTS.create("least_cost", data_centre=settings.data_centre),
             self.quotas,
+            TokenExchange(self.quotas, self.links.lenders, rng),
             self.freshness,
+            Shedder(rng),
+            self.guard.demand.note_call,
             self.callers,
             self.recorder,
             rng,
@@ -124,6 +138,7 @@
         self.sync.start()
         self._tasks.append(asyncio.ensure_future(self._tick()))
         self._tasks.append(asyncio.ensure_future(self._ask()))
+        self._tasks.append(asyncio.ensure_future(self._look()))
         self.recorder.log(
             "started",
             service=settings.service,
@@ -162,6 +177,7 @@
             now = self.clock()
             try:
                 self.entry.expire(now)
+                self.entry.tokens.expire(now)
                 self.guard.tick(now)
                 self.recorder.writer.flush()
             except Exception as error:
@@ -175,10 +191,54 @@
                 self.links.tick(now)
                 self._divide_quotas(now)
                 self.own_target.take_state(self.guard.state(now))
+                self.guard.demand.learn()
+                rows = self.guard.demand.rows()
+                own_demand = self.entry.shedder.own_demand_by_service
+                self.links.tell_demand(demand_frame(rows, own_demand))
             except Exception as error:
                 self.note_fault("ask", error)
             await asyncio.sleep(ASK_PERIOD)
 
+    async def _look(self) -> None:
+        while True:
+            try:
+                self._look_at_loads(self.clock())
+            except Exception as error:
+                self.note_fault("look", error)
+            await asyncio.sleep(LOOK_PERIOD)
+
+    def _look_at_loads(self, now: float) -> None:
+        configuration = self.entry.configuration
+        if configuration is None:
+            return
+        links = self.links.lenders()
+        rows = merge_rows([self.guard.demand.rows(), *(link.rows for link in links)])
+        routes = [route for route in configuration.routes if not route.is_public]
+        slot_times = {
+            route.name: slot_time_by_service(route, configuration, rows)
+            for route in routes
+        }
+        loads = {}
+        for service, targets in self.targets_by_service.items():
+            opened = [target for target in targets if target.is_open]
+            loads[service] = ServiceLoad(
+                slots=sum(target.state.limit for target in opened),
+                load=sum(target.load for target in opened),
+                demand=sum(link.demand_by_service.get(service, 0.0) for link in links),
+            )
+        self.entry.shedder.look(slot_times, loads, now)
+        self._record_shares()
+
+    def _record_shares(self) -> None:
+        shares = {
+            service: round(share, 2)
+            for service, share in self.entry.shedder.share_by_service.items()
+            if share < 1.0
+        }
+        if shares:
+            text = ",".join(f"{name}:{share}" for name, share in shares.items())
+            self.recorder.log("shedding", shares=text)
+
     def note_fault(self, step: str, error: BaseException) -> None:
         """Record a fault of the daemon's own."""
         self.recorder.count("faults", step)
@@ -195,7 +255,10 @@
         taken = self.entry.take(exchange, call, self.clock())
         if taken is not None and not taken.is_done:
             self._number_by_exchange[exchange] = taken.number
-            taken.on_done = self._number_by_exchange.pop
+            taken.on_done = self._forget_exchange
+
+    def _forget_exchange(self, exchange: int) -> None:
+        self._number_by_exchange.pop(exchange, None)
 
     def caller_gone(self, exchange: int) -> None:
         """Drop the call of a caller that has gone."""
@@ -247,14 +310,14 @@
 
     # The store and the peers.
 
-    def take_operator_state(self, state: OperatorState, source: str) -> None:
-        """Put a newer operator state in force."""
-        known = self.operator_state
+    def take_fleet_state(self, state: FleetState, source: str) -> None:
+        """Put a newer state of the fleet in force."""
+        known = self.fleet_state
         if state.revision <= known.revision:
             return
         now = self.clock()
-        self.operator_state = state
-        if state.configuration != known.configuration and state.configuration:
+        self.fleet_state = state
+        if state.configuration_revision > known.configuration_revision:
             self._take_configuration(state, source)
         configuration = self.entry.configuration
         if configuration is not None:
@@ -264,8 +327,11 @@
             self.recorder.log(
                 "evacuated", data_centres=names, revision=state.revision, source=source
             )
+        if state.member_by_name != known.member_by_name:
+            self._members_changed(state.member_by_name, source, now)
+        self.links.tell_all()
 
-    def _take_configuration(self, state: OperatorState, source: str) -> None:
+    def _take_configuration(self, state: FleetState, source: str) -> None:
         decoded = decode_configuration(state.configuration)
         if isinstance(decoded, Err):
             self.bad_input("configuration", str(decoded.err_value))
@@ -274,6 +340,7 @@
         current = self.entry.configuration
         if current is not None and configuration.version <= current.version:
             return
+        self._record_accounts(current, configuration)
         self.entry.configuration = configuration
         self.callers.set_limits(configuration.limits)
         self.recorder.log(
@@ -285,6 +352,21 @@
             accounts=len(configuration.account_by_name),
         )
 
+    def _record_accounts(
+        self, before: MeshConfiguration | None, after: MeshConfiguration
+    ) -> None:
+        known = {} if before is None else before.account_by_name
+        for name, account in after.account_by_name.items():
+            if known.get(name) != account:
+                self.recorder.log(
+                    "account",
+                    account=name,
+                    rate=account.rate,
+                    burst=account.burst,
+                    keys=len(account.keys),
+                    version=after.version,
+                )
+
     def confirm(self, asked_at: float) -> None:
         """Note that the store knew nothing newer at a time."""
         self.freshness.confirm(asked_at)
@@ -293,42 +375,62 @@
         """Return what to tell a peer."""
         lead = max(self.freshness.confirmed_at - heard_at, -1e6)
         state = self.guard.state(self.clock())
-        return PeerState(asked_at, lead, self.operator_state.revision, state)
+        revision = self.fleet_state.revision
+        return PeerState(asked_at, lead, revision, self.is_watching, state)
 
     def take_peer_state(self, target: Target, state: PeerState) -> bool:
-        """Take what a peer tells; return whether it knows a newer configuration."""
-        own = self.operator_state.revision
+        """Take what a peer tells; return whether it knows of later changes."""
+        own = self.fleet_state.revision
         if state.revision > own:
             return True
         if state.revision == own and state.asked_at > 0.0:
             self.freshness.confirm_by_peer(state.asked_at, state.lead)
         return False
 
-    def replace_members(self, by_name: dict[str, Member]) -> None:
-        """Take the whole list of members."""
-        self.roster.replace(by_name, self.clock())
-        self._members_changed()
-
-    def take_members(self, by_name: dict[str, Member], removed: set[str]) -> None:
-        """Take changes of the list of members."""
+    def should_watch(self) -> bool:
+        """Return whether this daemon watches the store."""
         now = self.clock()
-        for name in removed:
-            self.roster.remove(name, now)
-        for member in by_name.values():
-            self.roster.add(member)
-        self._members_changed()
+        unconfirmed_for = now - self.freshness.confirmed_at
+        peers = self.links.relay_peers()
+        return self.relay_choice.should_watch(peers, unconfirmed_for, now)
+
+    def watching_changed(self, is_watching: bool) -> None:
+        """Tell the peers whether this daemon's watch is answered."""
+        if is_watching != self.is_watching:
+            self.is_watching = is_watching
+            self.recorder.log("relay", is_watching=is_watching)
+            self.links.tell_all()
+
+    def lend_tokens(self, name: str, wanted: int) -> int:
+        """Return the tokens lent to a peer."""
+        configuration = self.entry.configuration
+        account = configuration and configuration.account_by_name.get(name)
+        if not account or account.rate <= 0.0:
+            return 0
+        return self.quotas.lend(account, wanted, self.clock())
 
-    def _members_changed(self) -> None:
-        self.links.set_members(self.roster.by_name)
-        self._divide_quotas(self.clock())
-        self.recorder.log("members", count=len(self.roster.by_name))
+    def take_tokens(self, name: str, tokens: int) -> None:
+        """Take tokens that a peer lent."""
+        configuration = self.entry.configuration
+        account = configuration and configuration.account_by_name.get(name)
+        if account:
+            self.entry.tokens.take_answer(account, tokens, self.clock())
+
+    def _members_changed(
+        self, by_name: dict[str, Member], source: str, now: float
+    ) -> None:
+        self.roster.replace(by_name, now)
+        self.links.set_members(by_name)
+        self._divide_quotas(now)
+        self.recorder.log("members", count=len(by_name), source=source)
 
     def _divide_quotas(self, now: float) -> None:
-        members = self.roster.count(now)
+        linked = frozenset(link.name for link in self.links.lenders())
+        members = self.roster.names(now) | linked
         configuration = self.entry.configuration
         if configuration is not None:
             self.quotas.set_members(members, now, configuration.account_by_name)
-        self.entry.repeats.members = members
+        self.entry.repeats.members = max(1, len(members))
 
     def _targets_changed(self, targets: list[Target]) -> None:
         self.targets_by_service.clear()
--- a/knapweedlead/sidecar/_store_sync.py
+++ b/knapweedlead/sidecar/_store_sync.py
@@ -1,23 +1,15 @@
-"""Keeps the daemon listed in the store, and its picture of the store up to date."""
+"""Keeps the daemon listed in the store, and watches the store for the fleet."""
 
 import asyncio
-import json
 import random
-from typing import Any, Protocol
+from typing import Protocol
 
-import attrs
 from result import Err
 
 from knapweedlead.errors import StoreError, StoreFault
-from knapweedlead.mesh import Change, Item, Listing, Member, OperatorState, StorePurpose
-from knapweedlead.platform import (
-    CONFIGURATION_KEY,
-    EVACUATION_PREFIX,
-    OPERATOR_PREFIX,
-    PlatformStore,
-)
-
-MEMBER_PREFIX = "members/"
+from knapweedlead.mesh import FleetState, Member, apply_change
+from knapweedlead.platform import PlatformStore
+
 LEASE_TIME = 6.0
 """Seconds for which a daemon stays listed without renewing its lease; longer than a
 daemon that is cut off goes on taking keys."""
@@ -26,31 +18,33 @@
 RETRY_PAUSE = 0.3
 """Seconds between tries while the store does not answer; an entry that lapsed in an
 outage has to be back within two seconds of its end."""
-OPERATOR_WATCH_TIME = 1.5
-"""Seconds that a watch waits; its answer confirms the configuration."""
-MEMBER_WATCH_TIME = 25.0
-"""Seconds that a watch of the members waits."""
+WATCH_TIME = 1.2
+"""Seconds that a watch waits; its answer confirms the configuration, which has to be
+known well within the time in which a withdrawn key must stop working."""
+IDLE_PERIOD = 0.1
+"""Seconds between looks at whether this daemon is to watch."""
 
 
 class SyncHost(Protocol):
     """What the synchronization needs of the daemon."""
 
     rng: random.Random
+    fleet_state: FleetState
 
     def clock(self) -> float:
         """Return the present time."""
 
-    def take_operator_state(self, state: OperatorState, source: str) -> None:
-        """Take the operators' declarations."""
+    def should_watch(self) -> bool:
+        """Return whether this daemon watches the store."""
+
+    def take_fleet_state(self, state: FleetState, source: str) -> None:
+        """Take what the store holds."""
 
     def confirm(self, asked_at: float) -> None:
         """Note that the store knew nothing newer at a time."""
 
-    def take_members(self, by_name: dict[str, Member], removed: set[str]) -> None:
-        """Take members that were added or changed, and the names of removed ones."""
-
-    def replace_members(self, by_name: dict[str, Member]) -> None:
-        """Take the whole list of members."""
+    def watching_changed(self, is_watching: bool) -> None:
+        """Note whether this daemon's watch is answered."""
 
     def store_changed(self, step: str, is_reached: bool, detail: str) -> None:
         """Record that the store was lost or reached again for a purpose."""
@@ -60,7 +54,7 @@
 
 
 class StoreSync:
-    """Registration, watch of the operators' keys, watch of the members.
+    """Registration of the daemon, and the watch.
 
     Parameters
     ----------
@@ -75,15 +69,10 @@
         self.own = own
         self._lease = 0
         self._tasks: list[asyncio.Task[None]] = []
-        self._operator = _OperatorKeys()
 
     def start(self) -> None:
         """Begin."""
-        for coroutine in (
-            self._keep_registered(),
-            self._watch_operators(),
-            self._watch_members(),
-        ):
+        for coroutine in (self._keep_registered(), self._keep_informed()):
             self._tasks.append(asyncio.ensure_future(coroutine))
 
     async def stop(self) -> None:
@@ -94,22 +83,18 @@
             await self.store.end_lease(self._lease)
 
     async def _keep_registered(self) -> None:
-        key = MEMBER_PREFIX + self.own.name
-        value = json.dumps(attrs.asdict(self.own)).encode()
         while True:
-            if not self._lease:
-                await self._register(key, value)
-            else:
-                await self._renew()
+            if not self._lease or not await self._renew():
+                await self._register()
             await asyncio.sleep(RENEWAL_PERIOD if self._lease else self._pause())
 
-    async def _register(self, key: str, value: bytes) -> None:
+    async def _register(self) -> None:
         granted = await self.store.grant_lease(LEASE_TIME)
         if isinstance(granted, Err):
             self._failed("register", granted.err_value)
             return
         lease = granted.ok_value.lease
-        written = await self.store.put(key, value, lease)
+        written = await self.store.register(self.own, lease)
         if isinstance(written, Err):
             self._failed("register", written.err_value)
             return
@@ -117,130 +102,70 @@
         self.host.store_changed("register", True, "")
         self.host.registered(True)
 
-    async def _renew(self) -> None:
+    async def _renew(self) -> bool:
+        """Renew the lease; return whether it still holds, as far as is known."""
         renewed = await self.store.renew_lease(self._lease)
         if not isinstance(renewed, Err):
             self.host.store_changed("renew", True, "")
-            return
+            return True
         self._failed("renew", renewed.err_value)
-        if renewed.err_value.fault is StoreFault.CONFLICT:
-            self._lease = 0
-            self.host.registered(False)
-            await self._register(
-                MEMBER_PREFIX + self.own.name,
-                json.dumps(attrs.asdict(self.own)).encode(),
-            )
-
-    async def _watch_operators(self) -> None:
-        while True:
-            asked_at = self.host.clock()
-            listed = await self.store.list(OPERATOR_PREFIX, StorePurpose.CONFIGURATION)
-            if isinstance(listed, Err):
-                await self._retry_later("operator_keys.list", listed.err_value)
-                continue
-            self._operator.replace(listed.ok_value)
-            self._apply_operator_keys(asked_at)
-            await self._follow_operators(listed.ok_value.revision)
-
-    async def _follow_operators(self, revision: int) -> None:
+        if renewed.err_value.fault is not StoreFault.CONFLICT:
+            await asyncio.sleep(self._pause())
+            return True
+        self._lease = 0
+        self.host.registered(False)
+        return False
+
+    async def _keep_informed(self) -> None:
+        """Read the store once, then watch it while this daemon is to do so."""
+        is_listing = True
         while True:
-            asked_at = self.host.clock()
-            changed = await self.store.watch(
-                OPERATOR_PREFIX,
-                revision,
-                OPERATOR_WATCH_TIME,
-                StorePurpose.CONFIGURATION,
-            )
-            if isinstance(changed, Err):
-                await self._retry_later("operator_keys.watch", changed.err_value)
-                if changed.err_value.fault is StoreFault.COMPACTED:
-                    return
-                continue
-            revision = changed.ok_value.revision
-            self._operator.change(changed.ok_value)
-            self._apply_operator_keys(asked_at)
-
-    def _apply_operator_keys(self, asked_at: float) -> None:
-        self.host.store_changed("operator_keys", True, "")
-        self.host.take_operator_state(self._operator.state(), "store")
+            if is_listing:
+                is_listing = not await self._read()
+            elif self.host.should_watch():
+                is_listing = not await self._watch()
+            else:
+                self.host.watching_changed(False)
+                await asyncio.sleep(IDLE_PERIOD)
+
+    async def _read(self) -> bool:
+        asked_at = self.host.clock()
+        read = await self.store.read_state()
+        if isinstance(read, Err):
+            await self._fail_watch(read.err_value)
+            return False
+        self._take(read.ok_value, asked_at)
+        return True
+
+    async def _watch(self) -> bool:
+        """Watch once; return whether the history that it needs is still there."""
+        asked_at = self.host.clock()
+        changed = await self.store.watch_state(
+            self.host.fleet_state.revision, WATCH_TIME
+        )
+        if isinstance(changed, Err):
+            await self._fail_watch(changed.err_value)
+            return changed.err_value.fault is not StoreFault.COMPACTED
+        state = self.host.fleet_state
+        # Peers may have told of later changes while the watch waited.
+        if changed.ok_value.revision > state.revision:
+            state = apply_change(state, changed.ok_value)
+        self._take(state, asked_at)
+        self.host.watching_changed(True)
+        return True
+
+    def _take(self, state: FleetState, asked_at: float) -> None:
+        self.host.store_changed("watch", True, "")
+        self.host.take_fleet_state(state, "store")
         self.host.confirm(asked_at)
 
-    async def _watch_members(self) -> None:
-        while True:
-            listed = await self.store.list(MEMBER_PREFIX, StorePurpose.MEMBERSHIP)
-            if isinstance(listed, Err):
-                await self._retry_later("members.list", listed.err_value)
-                continue
-            members = [_member(item) for item in listed.ok_value.items]
-            self.host.replace_members({m.name: m for m in members if m is not None})
-            await self._follow_members(listed.ok_value.revision)
-
-    async def _follow_members(self, revision: int) -> None:
-        while True:
-            changed = await self.store.watch(
-                MEMBER_PREFIX, revision, MEMBER_WATCH_TIME, StorePurpose.MEMBERSHIP
-            )
-            if isinstance(changed, Err):
-                await self._retry_later("members.watch", changed.err_value)
-                if changed.err_value.fault is StoreFault.COMPACTED:
-                    return
-                continue
-            change = changed.ok_value
-            revision = change.revision
-            members = [_member(item) for item in change.written]
-            by_name = {m.name: m for m in members if m is not None}
-            removed = {key.removeprefix(MEMBER_PREFIX) for key in change.removed}
-            if by_name or removed:
-                self.host.take_members(by_name, removed - set(by_name))
-
-    async def _retry_later(self, step: str, error: StoreError) -> None:
-        self._failed(step, error)
+    async def _fail_watch(self, error: StoreError) -> None:
+        self.host.watching_changed(False)
+        self._failed("watch", error)
         await asyncio.sleep(self._pause())
 
     def _failed(self, step: str, error: StoreError) -> None:
-        self.host.store_changed(step.partition(".")[0], False, str(error))
+        self.host.store_changed(step, False, str(error))
 
     def _pause(self) -> float:
         return RETRY_PAUSE * (0.5 + self.host.rng.random())
-
-
-class _OperatorKeys:
-    """Operators' keys as last read."""
-
-    def __init__(self) -> None:
-        self._item_by_key: dict[str, Item] = {}
-        self._revision = 0
-
-    def replace(self, listing: Listing) -> None:
-        self._item_by_key = {item.key: item for item in listing.items}
-        self._revision = max(self._revision, listing.revision)
-
-    def change(self, change: Change) -> None:
-        for key in change.removed:
-            self._item_by_key.pop(key, None)
-        for item in change.written:
-            self._item_by_key[item.key] = item
-        if change.removed or change.written:
-            self._revision = max(self._revision, change.revision)
-
-    def state(self) -> OperatorState:
-        item = self._item_by_key.get(CONFIGURATION_KEY)
-        prefix = EVACUATION_PREFIX
-        return OperatorState(
-            revision=self._revision,
-            configuration=b"" if item is None else item.value,
-            evacuated=frozenset(
-                key.removeprefix(prefix)
-                for key in self._item_by_key
-                if key.startswith(prefix)
-            ),
-        )
-
-
-def _member(item: Item) -> Member | None:
-    """Return the member in an item; None for one that another writer left."""
-    try:
-        document: dict[str, Any] = json.loads(item.value)
-        return Member(**document)
-    except (ValueError, TypeError):
-        return None
--- a/knapweedlead/sidecar/_wire.py
+++ b/knapweedlead/sidecar/_wire.py
@@ -5,7 +5,15 @@
 
 import attrs
 
-from knapweedlead.mesh import EntryCall, Failure, OperatorState, Reason, ServerState
+from knapweedlead.mesh import (
+    EntryCall,
+    Failure,
+    FleetState,
+    Member,
+    Reason,
+    RouteDemand,
+    ServerState,
+)
 
 
 class FrameKind(enum.IntEnum):
@@ -17,10 +25,11 @@
     ANSWER = 4
     FAILURE = 5
     STATE = 6
-    WANT_OPERATOR_STATE = 7
-    OPERATOR_STATE = 8
+    WANT_FLEET_STATE = 7
+    FLEET_STATE = 8
     WANT_TOKENS = 9
     TOKENS = 10
+    DEMAND = 11
 
 
 def call_frame(call: EntryCall, remaining: float) -> list[Any]:
@@ -30,6 +39,7 @@
         call.number,
         call.call.request_id,
         call.service,
+        call.route.name,
         call.account_name,
         call.priority,
         call.route.is_idempotent,
@@ -75,7 +85,9 @@
         Seconds from that question's arrival to the last confirmation of the
         sender's configuration.
     revision : int
-        Of the sender's operator state.
+        Of the sender's fleet state.
+    is_watching : bool
+        Whether the sender watches the store.
     server : ServerState
         Of the backend server beside the sender.
     """
@@ -83,29 +95,76 @@
     asked_at: float
     lead: float
     revision: int
+    is_watching: bool
     server: ServerState
 
     def frame(self) -> list[Any]:
         """Return the frame."""
-        head = [FrameKind.STATE.value, self.asked_at, self.lead, self.revision]
-        return head + list(attrs.astuple(self.server))
+        return [
+            FrameKind.STATE.value,
+            self.asked_at,
+            self.lead,
+            self.revision,
+            self.is_watching,
+            *attrs.astuple(self.server),
+        ]
 
     @classmethod
     def of(cls, frame: list[Any]) -> "PeerState":
         """Return the state in a frame."""
-        return cls(frame[1], frame[2], frame[3], ServerState(*frame[4:]))
+        asked_at, lead, revision, is_watching = frame[1:5]
+        return cls(asked_at, lead, revision, is_watching, ServerState(*frame[5:]))
 
 
-def operator_frame(state: OperatorState) -> list[Any]:
-    """Return the frame with an operator state."""
+def fleet_frame(state: FleetState, known_configuration: int) -> list[Any]:
+    """Return the frame with a fleet state.
+
+    Parameters
+    ----------
+    state : FleetState
+    known_configuration : int
+        Revision of the receiver's configuration, which is left out if it is the
+        newest.
+    """
+    is_known = state.configuration_revision == known_configuration
     return [
-        FrameKind.OPERATOR_STATE.value,
+        FrameKind.FLEET_STATE.value,
         state.revision,
-        state.configuration,
+        state.configuration_revision,
+        b"" if is_known else state.configuration,
         sorted(state.evacuated),
+        [list(attrs.astuple(member)) for member in state.member_by_name.values()],
+    ]
+
+
+def fleet_state_of(frame: list[Any], known: FleetState) -> FleetState:
+    """Return the fleet state in a frame, completed by what the receiver knows."""
+    _, revision, configuration_revision, configuration, evacuated, rows = frame
+    is_known = configuration_revision == known.configuration_revision
+    members = [Member(*row) for row in rows]
+    return FleetState(
+        revision=revision,
+        configuration=known.configuration if is_known else configuration,
+        configuration_revision=configuration_revision,
+        evacuated=frozenset(evacuated),
+        member_by_name={member.name: member for member in members},
+    )
+
+
+def demand_frame(
+    rows: dict[str, RouteDemand], demand_by_service: dict[str, float]
+) -> list[Any]:
+    """Return the frame that tells what routes ask for and what callers ask for."""
+    return [
+        FrameKind.DEMAND.value,
+        {route: [row.hold, row.ratio_by_child] for route, row in rows.items()},
+        dict(demand_by_service),
     ]
 
 
-def operator_state_of(frame: list[Any]) -> OperatorState:
-    """Return the operator state in a frame."""
-    return OperatorState(frame[1], frame[2], frozenset(frame[3]))
+def demand_of(
+    frame: list[Any],
+) -> tuple[dict[str, RouteDemand], dict[str, float]]:
+    """Return what a demand frame tells."""
+    _, rows, demand_by_service = frame
+    return {route: RouteDemand(*row) for route, row in rows.items()}, demand_by_service
