--- /dev/null
+++ b/knapweedlead/mesh/tests/meshes.py
@@ -0,0 +1,233 @@
+"""Small configurations, reports and fakes for the tests of the mesh."""
+
+import random
+
+from knapweedlead.mesh import (
+    PLACEMENTS,
+    Call,
+    ClientAccount,
+    Entry,
+    EntrySettings,
+    Freshness,
+    Guard,
+    MeshConfiguration,
+    QuotaShares,
+    RequestLimits,
+    Route,
+    ServerAnswer,
+    ServerReport,
+    ServerState,
+    Service,
+    Shedder,
+    Target,
+    Ticket,
+    TokenExchange,
+    WeightedService,
+)
+
+OK = ServerAnswer(200, {}, b"whole")
+
+
+def make_route(name="read", prefix="/read/", service="lines", **changes):
+    """Return an idempotent route that needs no key."""
+    fields = {
+        "name": name,
+        "host": "example",
+        "prefix": prefix,
+        "services": (WeightedService(service, 1.0),),
+        "is_idempotent": True,
+        "timeout": 2.0,
+        "target_latency": 0.5,
+        "priority": 1,
+        "max_attempts": 2,
+        "is_public": True,
+    }
+    return Route(**(fields | changes))
+
+
+def make_configuration(*routes, accounts=(), version=1, cold_rate=40.0):
+    """Return a configuration of one service."""
+    return MeshConfiguration(
+        version=version,
+        routes=routes or (make_route(),),
+        service_by_name={"lines": Service("lines", "/health", 100, 3.0, cold_rate)},
+        account_by_name={account.name: account for account in accounts},
+        limits=RequestLimits(),
+    )
+
+
+def make_account(name="crew", rate=10.0, burst=10.0, priority=None):
+    """Return an account whose key is its name."""
+    return ClientAccount(name, (f"key-{name}",), priority, rate, burst)
+
+
+def make_report(**changes):
+    """Return the first heartbeat of a server with two slots."""
+    fields = {
+        "instance": "i-1",
+        "service": "lines",
+        "address": "10.0.0.1:80",
+        "data_centre": "north",
+        "version": "v1",
+        "slots": 2,
+        "is_draining": False,
+        "sequence": 1,
+        "cold_for": 0.0,
+        "born": 1000,
+    }
+    return ServerReport(**(fields | changes))
+
+
+def make_call(path="/read/7", key=None, request_id="r-1", patience=5.0):
+    """Return a call of a caller."""
+    return Call(request_id, "example", path, patience, key, b"GET /read/7", b"")
+
+
+class RecordingRunner:
+    """Keeps what the guard passes to its server."""
+
+    def __init__(self):
+        self.started = []
+        self.cancelled = []
+
+    def run(self, ticket, instance, remaining):
+        self.started.append(ticket)
+
+    def cancel(self, ticket):
+        self.cancelled.append(ticket)
+
+
+class RecordingSender:
+    """Keeps how tickets ended."""
+
+    def __init__(self):
+        self.answers = []
+        self.failures = []
+
+    def answered(self, ticket, answer):
+        self.answers.append((ticket, answer))
+
+    def failed(self, ticket, failure):
+        self.failures.append((ticket, failure))
+
+
+class GuardBench:
+    """A guard with a recording runner and sender."""
+
+    def __init__(self, now=100.0, **report):
+        self.runner = RecordingRunner()
+        self.sender = RecordingSender()
+        self.guard = Guard("lines", "north", self.runner, lambda: None)
+        self.guard.take_configuration(make_configuration(), frozenset(), now)
+        self.guard.take_report(make_report(**report), now)
+        self.numbers = iter(range(1, 1_000_000))
+
+    def ticket(self, now, deadline=None, **changes):
+        """Return a call that waits for two seconds."""
+        fields = {
+            "number": next(self.numbers),
+            "sender": self.sender,
+            "request_id": "r",
+            "service": "lines",
+            "route": "read",
+            "account": "",
+            "priority": 1,
+            "is_idempotent": True,
+            "deadline": now + 2.0 if deadline is None else deadline,
+            "head": b"",
+            "body": b"",
+        }
+        return Ticket(**(fields | changes))
+
+    def offer(self, now, **changes):
+        """Offer a call and return it."""
+        ticket = self.ticket(now, **changes)
+        self.guard.offer(ticket, now)
+        return ticket
+
+
+class RecordingChannel:
+    """Keeps what an entry passes to a daemon."""
+
+    def __init__(self):
+        self.sent = []
+        self.cancelled = []
+
+    def send_call(self, call, remaining):
+        self.sent.append((call, remaining))
+
+    def cancel_call(self, call):
+        self.cancelled.append(call)
+
+
+class RecordingReplies:
+    """Keeps what callers receive, by exchange."""
+
+    def __init__(self):
+        self.answer_by_exchange = {}
+        self.refusal_by_exchange = {}
+
+    def answer(self, exchange, answer):
+        assert exchange not in self.refusal_by_exchange
+        assert exchange not in self.answer_by_exchange
+        self.answer_by_exchange[exchange] = answer
+
+    def refuse(self, exchange, status, reason, retry_after):
+        assert exchange not in self.refusal_by_exchange
+        assert exchange not in self.answer_by_exchange
+        self.refusal_by_exchange[exchange] = (status, reason, retry_after)
+
+
+class SilentRecorder:
+    """Records nothing."""
+
+    def sent(self, call, now):
+        """Pass over an attempt."""
+
+    def ended(self, call, status, now):
+        """Pass over an answer."""
+
+    def refused(self, request_id, reason, status, call):
+        """Pass over a refusal."""
+
+    def repeated(self, call, failure):
+        """Pass over another attempt."""
+
+
+class EntryBench:
+    """An entry with targets whose channels record."""
+
+    def __init__(self, *names, configuration=None, max_staleness=4.0, seed=1):
+        rng = random.Random(seed)
+        state = ServerState("i", "lines", True, 0, 0, 10, 0.05)
+        self.targets = []
+        for name in names or ("a", "b", "c"):
+            target = Target(name, "north", "lines", RecordingChannel(), True)
+            target.take_state(state)
+            self.targets.append(target)
+        self.replies = RecordingReplies()
+        self.freshness = Freshness()
+        self.quotas = QuotaShares("self", 5.0, 0.0)
+        self.children = []
+        self.entry = Entry(
+            EntrySettings(max_staleness, 0.1, 20.0),
+            {"lines": self.targets},
+            PLACEMENTS.create("least_cost", data_centre="north"),
+            self.quotas,
+            TokenExchange(self.quotas, list, rng),
+            self.freshness,
+            Shedder(rng),
+            self.children.append,
+            self.replies,
+            SilentRecorder(),
+            rng,
+        )
+        self.entry.configuration = configuration or make_configuration()
+
+    def sent(self):
+        """Return all attempts, as pairs of target name and call."""
+        return [
+            (target.name, call)
+            for target in self.targets
+            for call, _ in target.channel.sent
+        ]
--- a/knapweedlead/sidecar/_sidecar.py
+++ b/knapweedlead/sidecar/_sidecar.py
@@ -43,9 +43,9 @@
 STALENESS_SHARE = 0.8
 """Part of the revocation time after which an unconfirmed configuration admits no
 keys; the rest is for the call on its way to the backend server."""
-REPEAT_SHARE = 0.5
+REPEAT_SHARE = 0.25
 """Part of the fleet's repeat ratio that each hop uses, since the calls of a repeated
-call count as repeats too."""
+call count as repeats too; enough for trees of four levels."""
 STORE_TIMEOUT = 1.0
 """Seconds for a call to the store."""
 LEAVE_NOTICE = 2.5
