--- a/knapweedlead/mesh/_guard.py
+++ b/knapweedlead/mesh/_guard.py
@@ -21,7 +21,7 @@
 """Seconds of work that may wait; more would end beyond most target latencies."""
 MIN_QUEUE = 4
 """Calls that may wait whatever the service time."""
-FAILURE_SMOOTHING = 0.03
+FAILURE_SMOOTHING = 0.06
 """Weight of the newest call in the share of calls that failed."""
 SILENCE = 4.0
 """Seconds without a heartbeat after which the server counts as gone; over two
--- /dev/null
+++ b/knapweedlead/platform/tests/fleets.py
@@ -0,0 +1,206 @@
+"""A small fleet on loopback: store, daemons, backend servers, in one process."""
+
+import asyncio
+import itertools
+import json
+import os
+import random
+
+from knapweedlead.http import BackendServerClient
+from knapweedlead.mesh import MeshSettings
+from knapweedlead.platform.tests.standin_server import StandinServer, request
+from knapweedlead.platform.tests.standin_store import StandinStore
+from knapweedlead.sidecar import Sidecar
+
+_fleets = itertools.count(1)
+
+CONFIGURATION = {
+    "version": "r3",
+    "services": [
+        {
+            "name": name,
+            "healthPath": "/health",
+            "maxConnections": 100,
+            "coldStartS": 3.0,
+            "coldPerS": 40.0,
+        }
+        for name in ("front", "deep")
+    ],
+    "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20},
+    "tenants": [
+        {
+            "name": "crew",
+            "apiKeys": ["key-crew"],
+            "priority": 1,
+            "ratePerS": 1000,
+            "burst": 1000,
+        }
+    ],
+    "virtualHosts": [
+        {
+            "host": "h.example",
+            "paths": [
+                {
+                    "name": "read",
+                    "prefix": "/read/",
+                    "kind": "safe",
+                    "timeoutMs": 2000,
+                    "targetLatencyMs": 500,
+                    "priority": 2,
+                    "service": "front",
+                    "maxAttempts": 2,
+                },
+                {
+                    "name": "file",
+                    "prefix": "/file/",
+                    "kind": "unsafe",
+                    "timeoutMs": 2000,
+                    "targetLatencyMs": 500,
+                    "priority": 0,
+                    "service": "front",
+                    "maxAttempts": 2,
+                },
+                {
+                    "name": "lookup",
+                    "prefix": "/lookup/",
+                    "kind": "safe",
+                    "timeoutMs": 1000,
+                    "targetLatencyMs": 500,
+                    "priority": 1,
+                    "service": "deep",
+                    "maxAttempts": 2,
+                    "public": True,
+                },
+            ],
+        }
+    ],
+}
+
+
+class Fleet:
+    """Two daemons of service ``front``, two of ``deep``, in two data centres."""
+
+    def __init__(self, has_children=False):
+        worker = os.environ.get("PYTEST_XDIST_WORKER", "gw0")[2:]
+        self.network = f"127.{1 + int(worker)}.{next(_fleets)}"
+        self.store = StandinStore()
+        self.store_address = f"{self.network}.1:7001"
+        self.sidecars = []
+        self.servers = []
+        self.has_children = has_children
+        self._clients = []
+
+    async def __aenter__(self):
+        await self.store.start(self.store_address)
+        self.store.write("op/config", json.dumps(CONFIGURATION).encode())
+        for index, (service, zone) in enumerate(
+            itertools.product(("front", "deep"), ("north", "south"))
+        ):
+            await self.add(index, service, zone)
+        await self.until(lambda: all(self.is_complete(s) for s in self.sidecars))
+        return self
+
+    async def __aexit__(self, *exc_info):
+        for client in self._clients:
+            client.close()
+        for sidecar in self.sidecars:
+            await self.kill(sidecar)
+        for server in self.servers:
+            await server.stop()
+        await self.store.stop()
+
+    def settings(self, index, service, zone):
+        """Return the settings of a daemon."""
+        ip = f"{self.network}.{10 + index}"
+        return MeshSettings(
+            name=f"daemon-{index}",
+            ip=ip,
+            data_centre=zone,
+            region="land",
+            service=service,
+            caller_address=f"{ip}:7002",
+            report_address=f"{ip}:7003",
+            ready_address=f"{ip}:7004",
+            server_address=f"{ip}:7005",
+            link_port=7006,
+            metrics_port=7007,
+            store_address=self.store_address,
+            heartbeat_period=0.2,
+            shutdown_time=6.0,
+            drain_time=2.0,
+            revocation_time=5.0,
+            repeat_ratio=0.2,
+            repeat_extra=50.0,
+            quota_window=5.0,
+            lease_time_min=1.0,
+            memory_mb=300,
+        )
+
+    async def add(self, index, service, zone):
+        """Start a daemon and the server beside it."""
+        settings = self.settings(index, service, zone)
+        sidecar = Sidecar(settings, random.Random(index))
+        self.sidecars.append(sidecar)
+        await sidecar.start()
+        child = None
+        if self.has_children and service == "front":
+            child = (settings.caller_address, "h.example", "/lookup/1")
+        server = StandinServer(
+            settings.server_address, settings.report_address, service, zone, child
+        )
+        self.servers.append(server)
+        await server.start()
+
+    def is_complete(self, sidecar):
+        """Return whether a daemon sees all the others' servers."""
+        targets = [t for ts in sidecar.targets_by_service.values() for t in ts]
+        return len(targets) == len(self.sidecars) and all(t.is_open for t in targets)
+
+    async def until(self, condition, seconds=10.0):
+        """Wait for a condition."""
+        async with asyncio.timeout(seconds):
+            while not condition():
+                await asyncio.sleep(0.02)
+
+    async def kill(self, sidecar):
+        """End a daemon without any notice."""
+        for task in [*sidecar._tasks, *sidecar.sync._tasks]:
+            task.cancel()
+        sidecar.links.close()
+        sidecar.store.close()
+        sidecar.runner.client.close()
+        for door in (sidecar.callers, sidecar.reports):
+            await door.server.stop()
+        for door in (sidecar.ready_door, sidecar.metrics_door):
+            await door.server.stop()
+
+    async def call(self, index, method, path, key="key-crew", request_id="r1", **extra):
+        """Send a call to a daemon and return status, headers and body."""
+        loop = asyncio.get_running_loop()
+        future = loop.create_future()
+        client = BackendServerClient(
+            self.sidecars[index].settings.caller_address,
+            8,
+            lambda run, answer: future.set_result(answer),
+            lambda run, was_sent, detail: future.set_result(detail),
+        )
+        self._clients.append(client)
+        headers = {
+            "host": "h.example",
+            "knapweedlead-request-id": request_id,
+            "knapweedlead-deadline-ms": "2000",
+        } | extra.pop("headers", {})
+        if key:
+            headers["authorization"] = f"Token {key}"
+        body = extra.pop("body", b"")
+        client.send(1, request(method, path, headers, body), False, 4.0)
+        return await future
+
+    def seen(self, service):
+        """Return what the servers of a service received."""
+        return [
+            seen
+            for server in self.servers
+            if server.service == service
+            for seen in server.seen
+        ]
