--- a/knapweedlead/mesh/_relays.py
+++ b/knapweedlead/mesh/_relays.py
@@ -10,9 +10,9 @@
 lost at once."""
 PATIENCE = 1.0
 """Seconds for which too few relays are borne before another daemon watches."""
-MAX_UNCONFIRMED = 2.4
+MAX_UNCONFIRMED = 3.0
 """Seconds without a confirmation from a relay after which a daemon asks the store
-itself; a relay's watch and two questions on a link."""
+itself; a relay's watch twice, two questions on a link, and a slow answer."""
 
 
 @attrs.frozen
--- a/knapweedlead/sidecar/_recorder.py
+++ b/knapweedlead/sidecar/_recorder.py
@@ -181,6 +181,17 @@
         """Count a call to the store."""
         self.count("store.calls", f"{purpose.value},{outcome}")
 
+    def totals(self, *names: str) -> dict[str, str]:
+        """Return counters as fields of a line, by the last part of their names."""
+        return {
+            name.partition(".")[2] + "_" + name.partition(".")[0]: ",".join(
+                f"{label}:{count}"
+                for (known, label), count in sorted(self.count_by_name.items())
+                if known == name
+            )
+            for name in names
+        }
+
     def render(self) -> bytes:
         """Return all counters and histograms in the text exposition format."""
         lines = [
--- a/knapweedlead/sidecar/_sidecar.py
+++ b/knapweedlead/sidecar/_sidecar.py
@@ -40,6 +40,8 @@
 """Seconds between looks at deadlines and waiting calls."""
 LOOK_PERIOD = 0.25
 """Seconds between looks at the loads of all services."""
+REPORT_PERIOD = 10.0
+"""Seconds between lines of totals."""
 STALENESS_SHARE = 0.8
 """Part of the revocation time after which an unconfirmed configuration admits no
 keys; the rest is for the call on its way to the backend server."""
@@ -139,6 +141,7 @@
         self._tasks.append(asyncio.ensure_future(self._tick()))
         self._tasks.append(asyncio.ensure_future(self._ask()))
         self._tasks.append(asyncio.ensure_future(self._look()))
+        self._tasks.append(asyncio.ensure_future(self._report()))
         self.recorder.log(
             "started",
             service=settings.service,
@@ -199,6 +202,23 @@
                 self.note_fault("ask", error)
             await asyncio.sleep(ASK_PERIOD)
 
+    async def _report(self) -> None:
+        """Write a line of totals now and then."""
+        while True:
+            await asyncio.sleep(REPORT_PERIOD)
+            guard = self.guard
+            self.recorder.log(
+                "totals",
+                calls=len(self.entry.call_by_number),
+                running=len(guard.running_by_run),
+                waiting=len(guard.waiting_by_run),
+                limit=guard.limit,
+                service_time_ms=round(guard.service_time * 1000, 1),
+                links=self.links.up,
+                unconfirmed_ms=int((self.clock() - self.freshness.confirmed_at) * 1000),
+                **self.recorder.totals("store.calls", "calls.refused"),
+            )
+
     async def _look(self) -> None:
         while True:
             try:
--- a/knapweedlead/sidecar/_store_sync.py
+++ b/knapweedlead/sidecar/_store_sync.py
@@ -18,7 +18,7 @@
 RETRY_PAUSE = 0.3
 """Seconds between tries while the store does not answer; an entry that lapsed in an
 outage has to be back within two seconds of its end."""
-WATCH_TIME = 1.2
+WATCH_TIME = 0.9
 """Seconds that a watch waits; its answer confirms the configuration, which has to be
 known well within the time in which a withdrawn key must stop working."""
 IDLE_PERIOD = 0.1
