--- /dev/null
+++ b/benchmarks/frames.py
@@ -0,0 +1,76 @@
+"""Processor time of one message between daemons: websockets against bare frames.
+
+Run with ``python -m benchmarks.frames``. Both sides run in one process without
+sockets, so that only the protocols are measured.
+"""
+
+import time
+
+import cbor2
+from websockets.client import ClientProtocol
+from websockets.server import ServerProtocol
+from websockets.uri import parse_uri
+
+from knapweedlead.sidecar._frames import FrameConnection
+
+MESSAGES = 20_000
+FRAME = [1, 77, "9c41d07be2a35f68", "service", "route", "", 16, True, 1.5, b"h" * 300]
+
+
+class _Sink:
+    """Transport that hands what is written to another connection."""
+
+    def __init__(self, receive):
+        self.receive = receive
+
+    def write(self, data):
+        """Pass bytes on."""
+        self.receive(data)
+
+    def is_closing(self):
+        """Return that the transport is open."""
+        return False
+
+    def get_write_buffer_size(self):
+        """Return that nothing waits."""
+        return 0
+
+
+def websocket_seconds() -> float:
+    """Return processor seconds for one message over websockets."""
+    client = ClientProtocol(parse_uri("ws://127.0.0.1/"))
+    server = ServerProtocol()
+    client.send_request(client.connect())
+    server.receive_data(b"".join(client.data_to_send()))
+    (request,) = server.events_received()
+    server.send_response(server.accept(request))
+    client.receive_data(b"".join(server.data_to_send()))
+    client.events_received()
+    started_at = time.process_time()
+    for _ in range(MESSAGES):
+        client.send_binary(cbor2.dumps(FRAME))
+        server.receive_data(b"".join(client.data_to_send()))
+        for frame in server.events_received():
+            cbor2.loads(bytes(frame.data))
+    return (time.process_time() - started_at) / MESSAGES
+
+
+def frame_seconds() -> float:
+    """Return processor seconds for one message behind its length."""
+    receiver = FrameConnection(lambda connection, frame: None, lambda *lost: None)
+    sender = FrameConnection(lambda connection, frame: None, lambda *lost: None)
+    sender.transport = _Sink(receiver.data_received)  # type: ignore[assignment]
+    started_at = time.process_time()
+    for _ in range(MESSAGES):
+        sender.write_now(FRAME)
+    return (time.process_time() - started_at) / MESSAGES
+
+
+def main() -> None:
+    """Print both figures."""
+    print(f"websockets: {websocket_seconds() * 1e6:.1f} us a message")
+    print(f"frames: {frame_seconds() * 1e6:.1f} us a message")
+
+
+if __name__ == "__main__":
+    main()
--- a/knapweedlead/mesh/_guard.py
+++ b/knapweedlead/mesh/_guard.py
@@ -89,6 +89,18 @@
         """Drop the connection of a call; `Guard.failed` follows."""
 
 
+class GuardRecorder(Protocol):
+    """Counts and logs what a guard decides."""
+
+    def attempt_failed(self, ticket: Ticket, failure: Failure, guard: "Guard") -> None:
+        """Record a ticket that ended without an answer."""
+
+    def attempt_answered(
+        self, ticket: Ticket, answer: ServerAnswer, now: float
+    ) -> None:
+        """Record an answer of the backend server."""
+
+
 @attrs.frozen
 class ServerState:
     """What entries know of a backend server.
@@ -127,6 +139,7 @@
         Of the backend server beside the daemon.
     runner : Runner
         Carries the calls.
+    recorder : GuardRecorder
     on_change : callable
         Called after the backend server opened or closed.
     """
@@ -136,11 +149,13 @@
         service: str,
         data_centre: str,
         runner: Runner,
+        recorder: GuardRecorder,
         on_change: Callable[[], None],
     ) -> None:
         self.service = service
         self.data_centre = data_centre
         self.runner = runner
+        self.recorder = recorder
         self.on_change = on_change
         self.server = BackendServer()
         self.cold_gate = ColdGate()
@@ -255,7 +270,7 @@
         """Run, queue or refuse a call."""
         failure = self._refusal_of(ticket, now)
         if failure is not None:
-            ticket.sender.failed(ticket, failure)
+            self._report(ticket, failure)
             return
         self._runs += 1
         ticket.run = self._runs
@@ -310,7 +325,7 @@
 
     def _refuse(self, ticket: Ticket, reason: Reason) -> None:
         retry_after = self.service_time * len(self.waiting_by_run) / max(1, self.limit)
-        ticket.sender.failed(ticket, Failure(reason, False, retry_after=retry_after))
+        self._report(ticket, Failure(reason, False, retry_after=retry_after))
 
     def _refuse_waiting(self, reason: Reason) -> None:
         waiting, self.waiting_by_run = self.waiting_by_run, {}
@@ -347,6 +362,7 @@
         self._note_time(now - ticket.started_at)
         self.demand.note_hold(ticket.route, now - ticket.started_at)
         self._note_outcome(False)
+        self.recorder.attempt_answered(ticket, answer, now)
         ticket.sender.answered(ticket, answer)
         self._start_waiting(now)
 
@@ -357,14 +373,14 @@
         if len(self.running_by_run) >= self.limit - 1:
             self._rejected_until = now + REJECTION_PAUSE
         failure = Failure(Reason.REJECTED, False, True, retry_after)
-        ticket.sender.failed(ticket, failure)
+        self._report(ticket, failure)
         self._start_waiting(now)
 
     def misdirected(self, ticket: Ticket, now: float) -> None:
         """Report a call that another start of the server at its address declined."""
         self._end(ticket)
         self._unreachable_at = max(self._unreachable_at, ticket.started_at)
-        ticket.sender.failed(ticket, Failure(Reason.UNREACHABLE, False))
+        self._report(ticket, Failure(Reason.UNREACHABLE, False))
         self._changed(now)
 
     def failed(self, ticket: Ticket, failure: Failure, now: float) -> None:
@@ -375,7 +391,7 @@
             self._changed(now)
         elif not ticket.is_cancelled and failure.reason is not Reason.DEADLINE:
             self._note_outcome(True)
-        ticket.sender.failed(ticket, failure)
+        self._report(ticket, failure)
         self._start_waiting(now)
 
     def _note_time(self, elapsed: float) -> None:
@@ -384,6 +400,10 @@
             self.service_time = elapsed
         self.service_time += SERVICE_TIME_SMOOTHING * (elapsed - self.service_time)
 
+    def _report(self, ticket: Ticket, failure: Failure) -> None:
+        self.recorder.attempt_failed(ticket, failure, self)
+        ticket.sender.failed(ticket, failure)
+
     def _end(self, ticket: Ticket) -> None:
         self.running_by_run.pop(ticket.run, None)
 
--- a/knapweedlead/mesh/tests/meshes.py
+++ b/knapweedlead/mesh/tests/meshes.py
@@ -117,7 +117,9 @@
     def __init__(self, now=100.0, **report):
         self.runner = RecordingRunner()
         self.sender = RecordingSender()
-        self.guard = Guard("lines", "north", self.runner, lambda: None)
+        self.guard = Guard(
+            "lines", "north", self.runner, SilentRecorder(), lambda: None
+        )
         self.guard.take_configuration(make_configuration(), frozenset(), now)
         self.guard.take_report(make_report(**report), now)
         self.numbers = iter(range(1, 1_000_000))
@@ -193,6 +195,12 @@
     def repeated(self, call, failure):
         """Pass over another attempt."""
 
+    def attempt_failed(self, ticket, failure, guard):
+        """Pass over a failed ticket."""
+
+    def attempt_answered(self, ticket, answer, now):
+        """Pass over an answered ticket."""
+
 
 class EntryBench:
     """An entry with targets whose channels record."""
--- a/knapweedlead/operators/_command_line.py
+++ b/knapweedlead/operators/_command_line.py
@@ -4,15 +4,18 @@
 import hashlib
 import json
 import os
+import re
 import secrets
 import sys
 import time
 from collections.abc import Coroutine
+from pathlib import Path
 from typing import Any, TypeVar
 
 from result import Err, Ok, Result
 
 from knapweedlead.operators._client import ApiAnswer, ApiError, OperatorClient
+from knapweedlead.operators._explain import lines_about, lines_around
 from knapweedlead.operators._resource_file import ResourceDocument, load_resources
 from knapweedlead.operators._tables import render_resources, render_status
 from knapweedlead.settings import DaemonSettings, load_settings
@@ -59,6 +62,30 @@
         self._credential = credential
         self._output = output
 
+    def explain(self, request_id: Any, *files: str, around: float = 0.0) -> None:
+        """Print what the logs of the daemons tell about a request.
+
+        Parameters
+        ----------
+        request_id : str
+        files : str
+            Logs of daemons.
+        around : float
+            Seconds before and after the last line for which to print also what that
+            line's daemon came to believe.
+        """
+        paths = [Path(str(file)) for file in files]
+        lines = lines_about(str(request_id), paths)
+        if not lines:
+            message = f"no line names request {request_id}; calls that end well are"
+            raise _failure(EXIT_REFUSED, f"{message} logged for one in 64 only")
+        if around > 0.0:
+            daemon = re.search(r"daemon=(\S+)", lines[-1].text)
+            if daemon is not None:
+                lines += lines_around(daemon[1], lines[-1].time, around, paths)
+        for line in sorted(lines, key=lambda line: line.time):
+            print(line.text)
+
     def apply(self, file: str, wait: bool = False) -> None:
         """Create or replace every resource of a file.
 
--- a/knapweedlead/sidecar/_frames.py
+++ b/knapweedlead/sidecar/_frames.py
@@ -91,6 +91,12 @@
             asyncio.get_running_loop().call_soon(self._flush)
         self._outgoing.append(_LENGTH.pack(len(data)) + data)
 
+    def write_now(self, frame: list[Any]) -> None:
+        """Write a frame by itself."""
+        data = cbor2.dumps(frame)
+        self._outgoing.append(_LENGTH.pack(len(data)) + data)
+        self._flush()
+
     def _flush(self) -> None:
         outgoing, self._outgoing = self._outgoing, []
         if self.is_closed or self.transport.is_closing():
--- a/knapweedlead/sidecar/_links.py
+++ b/knapweedlead/sidecar/_links.py
@@ -179,7 +179,8 @@
             state = fleet_state_of(frame, self.host.fleet_state)
             self.host.take_fleet_state(state, self.member.name)
         elif kind == FrameKind.DEMAND:
-            self.rows, self.demand_by_service = demand_of(frame)
+            rows, self.demand_by_service = demand_of(frame)
+            self.rows = rows or self.rows
         elif kind == FrameKind.TOKENS:
             self.host.take_tokens(frame[1], frame[2])
 
--- a/knapweedlead/sidecar/_recorder.py
+++ b/knapweedlead/sidecar/_recorder.py
@@ -9,7 +9,15 @@
 
 import attrs
 
-from knapweedlead.mesh import EntryCall, Failure, Reason, StorePurpose
+from knapweedlead.mesh import (
+    EntryCall,
+    Failure,
+    Guard,
+    Reason,
+    ServerAnswer,
+    StorePurpose,
+    Ticket,
+)
 
 SAMPLE = 64
 """One in so many calls that end well is logged, the same at each daemon."""
@@ -132,7 +140,10 @@
         )
         buckets[_bucket(elapsed)] += 1
         self.latency_sum_by_route[call.route.name] += elapsed  # type: ignore[assignment]
-        if status >= 400 or is_sampled(call.call.request_id):
+        is_late = elapsed > call.route.target_latency
+        if is_late:
+            self.count("calls.late", call.route.name)
+        if status >= 400 or is_late or is_sampled(call.call.request_id):
             self.log(
                 "call_answered",
                 request=call.call.request_id,
@@ -140,7 +151,10 @@
                 status=status,
                 by="" if call.target is None else call.target.name,
                 attempts=call.sent,
+                reroutes=call.reroutes,
                 elapsed_ms=int(elapsed * _MS_PER_S),
+                attempt_ms=int((now - call.sent_at) * _MS_PER_S),
+                target_ms=int(call.route.target_latency * _MS_PER_S),
             )
 
     def refused(
@@ -177,6 +191,42 @@
             attempts=call.sent,
         )
 
+    # Calls at the guard.
+
+    def attempt_failed(self, ticket: Ticket, failure: Failure, guard: Guard) -> None:
+        """Record a ticket that ended without an answer."""
+        self.count("attempts.failed", failure.reason.value)
+        if failure.reason is Reason.CANCELLED:
+            return
+        report = guard.server.report
+        self.log(
+            "attempt_failed",
+            request=ticket.request_id,
+            route=ticket.route,
+            reason=failure.reason.value,
+            may_have_run=failure.may_have_run,
+            was_sent=failure.was_sent,
+            instance="" if report is None else report.instance,
+            running=len(guard.running_by_run),
+            waiting=len(guard.waiting_by_run),
+            limit=guard.limit,
+            service_time_ms=round(guard.service_time * _MS_PER_S, 1),
+        )
+
+    def attempt_answered(
+        self, ticket: Ticket, answer: ServerAnswer, now: float
+    ) -> None:
+        """Record an answer of the backend server."""
+        if is_sampled(ticket.request_id):
+            self.log(
+                "attempt_answered",
+                request=ticket.request_id,
+                route=ticket.route,
+                status=answer.status,
+                waited_ms=int((ticket.started_at - ticket.arrived_at) * _MS_PER_S),
+                ran_ms=int((now - ticket.started_at) * _MS_PER_S),
+            )
+
     def store_call(self, purpose: StorePurpose, outcome: str, elapsed: float) -> None:
         """Count a call to the store."""
         self.count("store.calls", f"{purpose.value},{outcome}")
--- a/knapweedlead/sidecar/_runner.py
+++ b/knapweedlead/sidecar/_runner.py
@@ -78,6 +78,8 @@
         now = self.clock()
         if detail == "timeout":
             failure = Failure(Reason.DEADLINE, True, True)
+        elif ticket.is_cancelled:
+            failure = Failure(Reason.CANCELLED, was_sent, was_sent)
         elif was_sent:
             failure = Failure(Reason.FAILED, True, True)
         else:
--- a/knapweedlead/sidecar/_sidecar.py
+++ b/knapweedlead/sidecar/_sidecar.py
@@ -40,6 +40,8 @@
 """Seconds between looks at deadlines and waiting calls."""
 LOOK_PERIOD = 0.25
 """Seconds between looks at the loads of all services."""
+ASKS_PER_ROWS = 4
+"""Rounds of questions for each time that peers are told what routes ask for."""
 REPORT_PERIOD = 10.0
 """Seconds between lines of totals."""
 STALENESS_SHARE = 0.8
@@ -78,7 +80,11 @@
         self.roster = Roster()
         self.runner = ServerRunner(settings.server_address, self.clock)
         self.guard = Guard(
-            settings.service, settings.data_centre, self.runner, self._guard_changed
+            settings.service,
+            settings.data_centre,
+            self.runner,
+            self.recorder,
+            self._guard_changed,
         )
         self.runner.guard = self.guard
         self.callers = CallerDoor(self, settings.service)
@@ -125,6 +131,7 @@
         self.is_stopping = False
         self._is_reached_by_step: dict[str, bool] = {}
         self._tasks: list[asyncio.Task[None]] = []
+        self._asks = 0
 
     # Life.
 
@@ -197,6 +204,9 @@
                 self.guard.demand.learn()
                 rows = self.guard.demand.rows()
                 own_demand = self.entry.shedder.own_demand_by_service
+                self._asks += 1
+                if self._asks % ASKS_PER_ROWS:
+                    rows = {}
                 self.links.tell_demand(demand_frame(rows, own_demand))
             except Exception as error:
                 self.note_fault("ask", error)
