Silent daemons and stalled servers get no new calls after 0.8 s and 0.5 s

Change: suspicion after two questions; idempotent calls are repeated elsewhere within the budget, others wait; a stall closes the server until it is heard of; a server that answers stays open while heartbeats are late.

--- a/benchmarks/frames.py
+++ b/benchmarks/frames.py
@@ -5,6 +5,8 @@
 """
 
 import time
+from collections.abc import Callable
+from typing import Any
 
 import cbor2
 from websockets.client import ClientProtocol
@@ -20,18 +22,18 @@
 class _Sink:
     """Transport that hands what is written to another connection."""
 
-    def __init__(self, receive):
+    def __init__(self, receive: Callable[[bytes], None]) -> None:
         self.receive = receive
 
-    def write(self, data):
+    def write(self, data: bytes) -> None:
         """Pass bytes on."""
         self.receive(data)
 
-    def is_closing(self):
+    def is_closing(self) -> bool:
         """Return that the transport is open."""
         return False
 
-    def get_write_buffer_size(self):
+    def get_write_buffer_size(self) -> int:
         """Return that nothing waits."""
         return 0
 
@@ -42,7 +44,7 @@
     server = ServerProtocol()
     client.send_request(client.connect())
     server.receive_data(b"".join(client.data_to_send()))
-    (request,) = server.events_received()
+    request: Any = server.events_received()[0]
     server.send_response(server.accept(request))
     client.receive_data(b"".join(server.data_to_send()))
     client.events_received()
@@ -50,7 +52,8 @@
     for _ in range(MESSAGES):
         client.send_binary(cbor2.dumps(FRAME))
         server.receive_data(b"".join(client.data_to_send()))
-        for frame in server.events_received():
+        frames: Any = server.events_received()
+        for frame in frames:
             cbor2.loads(bytes(frame.data))
     return (time.process_time() - started_at) / MESSAGES
 
--- a/knapweedlead/mesh/_entry.py
+++ b/knapweedlead/mesh/_entry.py
@@ -290,7 +290,10 @@
         target.channel.send_call(call, call.deadline - now)
 
     def answered(self, number: int, answer: ServerAnswer, now: float) -> None:
-        """Pass a backend server's answer on, or ask another one after a failure."""
+        """Pass a backend server's answer on, or ask another one after a failure.
+
+        The answer of an attempt that was given up is as good as that of a later one.
+        """
         call = self.call_by_number.get(number)
         if call is None:
             return
@@ -303,10 +306,25 @@
         self.recorder.ended(call, answer.status, now)
         self.replies.answer(call.exchange, answer)
 
-    def failed(self, number: int, failure: Failure, now: float) -> None:
-        """Try a call elsewhere after a failed attempt, or end it."""
+    def failed(
+        self,
+        number: int,
+        failure: Failure,
+        now: float,
+        target: Target | None = None,
+    ) -> None:
+        """Try a call elsewhere after a failed attempt, or end it.
+
+        Parameters
+        ----------
+        number : int
+        failure : Failure
+        now : float
+        target : Target or None
+            Whose attempt failed; one that was given up before changes nothing.
+        """
         call = self.call_by_number.get(number)
-        if call is None:
+        if call is None or (target is not None and call.target is not target):
             return
         call.last = failure
         call.may_have_run |= failure.may_have_run
@@ -394,6 +412,26 @@
         for call in lost:
             self.failed(call.number, failure, now)
 
+    def target_suspected(self, target: Target, now: float) -> None:
+        """Have calls run elsewhere that wait for a daemon which has fallen silent.
+
+        Calls that must not be repeated, or for which there is no budget, wait on.
+        """
+        failure = Failure(Reason.LINK_LOST, True, True)
+        waiting = [
+            call
+            for call in self.call_by_number.values()
+            if call.target is target and call.route.is_idempotent
+        ]
+        for call in waiting:
+            call.sent += 1
+            if not self._may_repeat(call, now):
+                call.sent -= 1
+                continue
+            call.may_have_run = True
+            target.channel.cancel_call(call)
+            self._repeat(call, failure, now)
+
     @property
     def is_idle(self) -> bool:
         """Whether no caller waits."""
--- a/knapweedlead/mesh/_guard.py
+++ b/knapweedlead/mesh/_guard.py
@@ -24,8 +24,13 @@
 FAILURE_SMOOTHING = 0.06
 """Weight of the newest call in the share of calls that failed."""
 SILENCE = 4.0
-"""Seconds without a heartbeat after which the server counts as gone; over two
-heartbeats and the second that an acknowledgement may take."""
+"""Seconds without a heartbeat after which a server that answers nothing counts as
+gone; over two heartbeats and the second that an acknowledgement may take."""
+STALL_TIME = 0.5
+STALL_SERVICE_TIMES = 4.0
+STALL_CALLS = 3
+"""A server with that many calls counts as stalled when it has answered none for this
+time and for so many mean service times; it gets no more until it is heard of."""
 REJECTION_PAUSE = 0.05
 """Seconds without new calls after the server rejected one as too many."""
 
@@ -173,6 +178,8 @@
         self._unreachable_at = -math.inf
         self._returned_at = -math.inf
         self._rejected_until = -math.inf
+        self._answered_at = -math.inf
+        self._is_stalled = False
 
     # What is known of the backend server.
 
@@ -184,6 +191,7 @@
         if before is None or before.instance != report.instance:
             self.failure_share = 0.0
             self._has_timed = False
+        self._is_stalled = False
         self._changed(now)
         return True
 
@@ -231,9 +239,11 @@
             return Reason.DRAINING
         if server.heard_at <= self._unreachable_at:
             return Reason.UNREACHABLE
-        if now - server.heard_at > SILENCE:
+        if server.report.service != self.service:
+            return Reason.NO_BACKEND_SERVER
+        if now - max(server.heard_at, self._answered_at) > SILENCE:
             return Reason.UNREACHABLE
-        return None
+        return Reason.UNREACHABLE if self._is_stalled else None
 
     def is_cold(self, now: float) -> bool:
         """Return whether the backend server is, or may be, in a cold start.
@@ -359,6 +369,7 @@
     def answered(self, ticket: Ticket, answer: ServerAnswer, now: float) -> None:
         """Pass an answer of the backend server on and start the next call."""
         self._end(ticket)
+        self._heard(now)
         self._note_time(now - ticket.started_at)
         self.demand.note_hold(ticket.route, now - ticket.started_at)
         self._note_outcome(False)
@@ -369,6 +380,7 @@
     def rejected(self, ticket: Ticket, retry_after: float, now: float) -> None:
         """Report a call that the backend server declined to run."""
         self._end(ticket)
+        self._heard(now)
         self._note_outcome(True)
         if len(self.running_by_run) >= self.limit - 1:
             self._rejected_until = now + REJECTION_PAUSE
@@ -394,6 +406,22 @@
         self._report(ticket, failure)
         self._start_waiting(now)
 
+    def _heard(self, now: float) -> None:
+        self._answered_at = now
+        if self._is_stalled:
+            self._is_stalled = False
+            self._changed(now)
+
+    def _note_stall(self, now: float) -> None:
+        if self._is_stalled or len(self.running_by_run) < STALL_CALLS:
+            return
+        patience = max(STALL_TIME, STALL_SERVICE_TIMES * self.service_time)
+        heard_at = max(self._answered_at, self.server.heard_at)
+        oldest = next(iter(self.running_by_run.values())).started_at
+        if now - max(heard_at, oldest) > patience:
+            self._is_stalled = True
+            self._changed(now)
+
     def _note_time(self, elapsed: float) -> None:
         if not self._has_timed:
             self._has_timed = True
@@ -431,6 +459,7 @@
             self.queue.remove_where(lambda call: call.run in runs)
             for run in expired:
                 self._refuse(self.waiting_by_run.pop(run), Reason.QUEUE_TIMEOUT)
+        self._note_stall(now)
         self._start_waiting(now)
 
     @property
--- a/knapweedlead/mesh/tests/test_entry.py
+++ b/knapweedlead/mesh/tests/test_entry.py
@@ -155,3 +155,25 @@
     status, _, retry_after = bench.replies.refusal_by_exchange[19]
     assert status == 429
     assert retry_after > 0.0
+
+
+def test_silent_daemon_costs_idempotent_calls_no_more_than_the_suspicion():
+    bench = EntryBench()
+    call = bench.entry.take("x", make_call(), 1.0)
+    silent = call.target
+    silent.is_up = False
+    bench.entry.target_suspected(silent, 1.8)
+    assert call.target is not silent
+    bench.entry.failed(call.number, UNKNOWN, 1.9, silent)
+    bench.entry.answered(call.number, OK, 2.0)
+    assert bench.replies.answer_by_exchange["x"] is OK
+
+
+def test_silent_daemon_is_waited_for_by_calls_that_must_not_be_repeated():
+    bench = EntryBench(configuration=unsafe_configuration())
+    call = bench.entry.take("x", make_call(), 1.0)
+    call.target.is_up = False
+    bench.entry.target_suspected(call.target, 1.8)
+    assert len(bench.sent()) == 1
+    bench.entry.answered(call.number, OK, 2.0)
+    assert bench.replies.answer_by_exchange["x"] is OK
--- a/knapweedlead/mesh/tests/test_guard.py
+++ b/knapweedlead/mesh/tests/test_guard.py
@@ -112,6 +112,38 @@
     assert not bench.guard.state(105.0).is_open
 
 
+def test_server_that_answers_stays_open_while_its_heartbeats_are_late():
+    bench = GuardBench()
+    ticket = bench.offer(103.0)
+    bench.guard.answered(ticket, OK, 103.1)
+    assert bench.guard.state(106.0).is_open
+
+
+def test_server_that_stops_answering_gets_no_more_calls_until_it_is_heard_of():
+    bench = GuardBench(slots=10)
+    tickets = [bench.offer(100.5) for _ in range(4)]
+    bench.guard.tick(101.2)
+    assert not bench.guard.state(101.2).is_open
+    bench.guard.answered(tickets[0], OK, 101.3)
+    assert bench.guard.state(101.3).is_open
+
+
+def test_slow_server_does_not_count_as_stalled():
+    bench = GuardBench(slots=10)
+    bench.guard.service_time = 0.5
+    for _ in range(4):
+        bench.offer(100.5)
+    bench.guard.tick(102.0)
+    assert bench.guard.state(102.0).is_open
+
+
+def test_server_of_another_service_at_the_address_gets_no_calls():
+    bench = GuardBench()
+    bench.guard.take_report(make_report(service="other", born=2000), 100.1)
+    bench.offer(100.2)
+    assert bench.runner.started == []
+
+
 def test_waiting_call_whose_time_is_over_is_refused_as_not_run():
     bench = GuardBench()
     for _ in range(2):
--- a/knapweedlead/sidecar/_links.py
+++ b/knapweedlead/sidecar/_links.py
@@ -32,11 +32,12 @@
     fleet_state_of,
 )
 
-ASK_PERIOD = 0.5
+ASK_PERIOD = 0.3
 """Seconds between questions on a link; the load also comes with each answer."""
-SUSPECT_AFTER = 2.0
-"""Seconds of silence after which a link takes no calls; four questions."""
-LOST_AFTER = 4.0
+SUSPECT_AFTER = 0.8
+"""Seconds of silence after which a link takes no new calls: two questions, and a lost
+packet that is sent again."""
+LOST_AFTER = 3.5
 """Seconds of silence after which a link is dropped; longer than a lost packet
 takes to be sent again twice."""
 CONNECT_TIMEOUT = 1.0
@@ -108,8 +109,10 @@
         if silence > LOST_AFTER:
             self.connection.abort("silent")
             return
-        if silence > SUSPECT_AFTER:
+        if silence > SUSPECT_AFTER and self.target.is_up:
             self.target.is_up = False
+            self.host.link_changed(self.member.name, False, "silent")
+            self.host.entry.target_suspected(self.target, now)
         self.connection.send([FrameKind.ASK.value, now])
 
     async def _open(self) -> None:
@@ -172,7 +175,7 @@
             self.host.entry.answered(number, answer, now)
         elif kind == FrameKind.FAILURE:
             self.target.take_load(frame[6], frame[7])
-            self.host.entry.failed(frame[1], failure_of(frame), now)
+            self.host.entry.failed(frame[1], failure_of(frame), now, self.target)
         elif kind == FrameKind.STATE:
             self._take_state(PeerState.of(frame))
         elif kind == FrameKind.FLEET_STATE:
@@ -339,7 +342,7 @@
         loop.call_soon(self._report_failure, ticket.number, failure)
 
     def _report_failure(self, number: int, failure: Failure) -> None:
-        self.host.entry.failed(number, failure, self.host.clock())
+        self.host.entry.failed(number, failure, self.host.clock(), self.target)
 
     def _take_load(self) -> None:
         guard = self.host.guard
--- a/knapweedlead/sidecar/_sidecar.py
+++ b/knapweedlead/sidecar/_sidecar.py
@@ -40,7 +40,7 @@
 """Seconds between looks at deadlines and waiting calls."""
 LOOK_PERIOD = 0.25
 """Seconds between looks at the loads of all services."""
-ASKS_PER_ROWS = 4
+ASKS_PER_ROWS = 6
 """Rounds of questions for each time that peers are told what routes ask for."""
 REPORT_PERIOD = 10.0
 """Seconds between lines of totals."""
@@ -55,7 +55,7 @@
 LEAVE_NOTICE = 2.5
 """Seconds for which a stopping daemon goes on taking calls: two missed readiness
 questions, one second apart, and some time for the last of them."""
-EXIT_MARGIN = 0.7
+EXIT_MARGIN = 1.2
 """Seconds before the process is killed at which it exits by itself."""
 
 
