Refused calls return one after the other; an answer costs fewer system calls

Change: the returns of an account are spaced by its rate, 2 s at most. The caller's address is read only where it is used (a system call a connection); bodies of refusals are made once.

--- a/knapweedlead/http/_caller.py
+++ b/knapweedlead/http/_caller.py
@@ -56,8 +56,6 @@
     ----------
     exchange : int
         Exchange under way; 0 where there is none.
-    peer : str
-        Address of the caller.
     """
 
     def __init__(self, server: "CallerServer") -> None:
@@ -65,7 +63,6 @@
         self.transport: asyncio.Transport = None  # type: ignore[assignment]
         self.parser = httptools.HttpRequestParser(self)
         self.exchange = 0
-        self.peer = ""
         self._waiting: deque[tuple[ParsedRequest, bool]] = deque()
         self._is_head_method = False
         self._is_last = False
@@ -87,11 +84,15 @@
         self._is_in_head = True
         self._is_kept = True
 
+    @property
+    def peer(self) -> str:
+        """Address of the caller; costs a system call."""
+        peer = self.transport.get_extra_info("peername")
+        return f"{peer[0]}:{peer[1]}" if peer else "-"
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection, or refuse it where there are too many."""
         self.transport = transport  # type: ignore[assignment]
-        peer = transport.get_extra_info("peername")
-        self.peer = f"{peer[0]}:{peer[1]}" if peer else "-"
         self._active_at = asyncio.get_running_loop().time()
         if not self.server.add(self):
             self._refuse("overloaded")
--- a/knapweedlead/http/_server.py
+++ b/knapweedlead/http/_server.py
@@ -29,8 +29,8 @@
         Lower-case names.
     body : bytes
         The whole body.
-    peer : str
-        Address of the caller.
+    connection : CallerProtocol
+        Where it came from.
     """
 
     exchange: int
@@ -38,7 +38,12 @@
     path: str
     headers: dict[str, str]
     body: bytes
-    peer: str
+    connection: CallerProtocol
+
+    @property
+    def peer(self) -> str:
+        """Address of the caller."""
+        return self.connection.peer
 
 
 class CallerServer:
@@ -136,7 +141,7 @@
         exchange = next(self._exchanges)
         self._protocol_by_exchange[exchange] = protocol
         protocol.exchange = exchange
-        self.on_request(HttpRequest(exchange, *request, protocol.peer))
+        self.on_request(HttpRequest(exchange, *request, protocol))
         return exchange
 
     def lost(self, exchange: int) -> None:
--- a/knapweedlead/mesh/_entry.py
+++ b/knapweedlead/mesh/_entry.py
@@ -244,7 +244,7 @@
         elif is_granted:
             self._begin(call, now)
         else:
-            retry_after = self.quotas.next_token_in(account)
+            retry_after = self.quotas.retry_after(account, now)
             failure = Failure(Reason.RATE_EXCEEDED, False, retry_after=retry_after)
             self._give_up(call, failure, now)
 
--- a/knapweedlead/mesh/_quotas.py
+++ b/knapweedlead/mesh/_quotas.py
@@ -11,6 +11,9 @@
 MIN_SHARE = 4.0
 """Tokens that a daemon can save up at least; smaller parts would mostly lie unused
 where no call comes."""
+MAX_RETRY_AFTER = 2.0
+"""Seconds after which a refused call may return at the latest; later ones would end
+beyond most deadlines."""
 RESERVED_PART = 0.3
 """Part of the saved tokens that is kept for important calls."""
 MIN_HOLDERS = 3
@@ -51,6 +54,7 @@
         self.started_at = started_at
         self._members: frozenset[str] = frozenset({own_name})
         self._bucket_by_account: dict[str, _Bucket] = {}
+        self._return_at_by_account: dict[str, float] = {}
         self._holders_by_account: dict[ClientAccount, frozenset[str]] = {}
 
     def set_members(
@@ -104,9 +108,17 @@
         if bucket is not None:
             bucket.tokens += 1.0
 
-    def next_token_in(self, account: ClientAccount) -> float:
-        """Return the seconds after which the whole fleet has earned some tokens."""
-        return len(self._members) / max(account.rate, 1.0)
+    def retry_after(self, account: ClientAccount, now: float) -> float:
+        """Return the seconds after which a refused call has a chance.
+
+        Refused calls are told to come back one after the other, as the account's
+        rate allows, so that they do not all return for the same token.
+        """
+        spacing = len(self._members) / max(account.rate, 1.0)
+        latest = max(now, self._return_at_by_account.get(account.name, now)) + spacing
+        latest = min(latest, now + MAX_RETRY_AFTER)
+        self._return_at_by_account[account.name] = latest
+        return latest - now
 
     def lend(
         self,
--- a/knapweedlead/mesh/tests/test_quotas.py
+++ b/knapweedlead/mesh/tests/test_quotas.py
@@ -128,3 +128,13 @@
         refused[is_important] += not shares.take(account, now, is_important)
     assert refused[True] == 0
     assert refused[False] > 1000
+
+
+def test_refused_calls_are_told_to_return_one_after_the_other():
+    shares = QuotaShares("d0", WINDOW, 100.0)
+    account = make_account(rate=10.0, burst=10.0)
+    waits = [shares.retry_after(account, 100.0) for _ in range(30)]
+    assert waits == sorted(waits)
+    assert waits[0] == 0.1
+    assert waits[9] - waits[0] > 0.8
+    assert max(waits) <= 2.0
--- a/knapweedlead/sidecar/_doors.py
+++ b/knapweedlead/sidecar/_doors.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Callable
+from functools import lru_cache
 from typing import Any, Protocol
 
 from result import Err
@@ -93,8 +94,7 @@
         headers = {"content-type": "application/problem+json"}
         if retry_after and status in (429, 503):
             headers["retry-after"] = f"{retry_after:.3f}"
-        body = json.dumps({"type": reason.value, "status": status}).encode()
-        self.server.reply(exchange, status, headers, body)
+        self.server.reply(exchange, status, headers, _problem(status, reason))
 
 
 class ReportHost(Protocol):
@@ -154,6 +154,12 @@
         self.server.reply(request.exchange, status, headers, body)
 
 
+@lru_cache
+def _problem(status: int, reason: Reason) -> bytes:
+    """Return the body of a problem document."""
+    return json.dumps({"type": reason.value, "status": status}).encode()
+
+
 def _ignore(exchange: int) -> None:
     """Take note of nothing: these answers are given at once."""
 
