Collector tuned, heads encoded only for calls that are sent

Change: the garbage collector is tuned as in the other daemon; a refused call's head is not encoded; routes are indexed once for each configuration.

--- a/knapweedlead/daemon/main.py
+++ b/knapweedlead/daemon/main.py
@@ -12,10 +12,10 @@
 from result import Err
 
 from knapweedlead.daemon._composition import compose
-from knapweedlead.daemon._garbage import tune_garbage_collector
 from knapweedlead.daemon._lifecycle import Lifecycle
 from knapweedlead.daemon._operator_door import open_operator_api
 from knapweedlead.daemon._shell import Shell
+from knapweedlead.process import tune_garbage_collector
 from knapweedlead.settings import DaemonSettings, load_settings
 from knapweedlead.telemetry import configure_logs
 
--- a/knapweedlead/mesh/_calls.py
+++ b/knapweedlead/mesh/_calls.py
@@ -1,11 +1,12 @@
 """Calls as entries and guards see them, and how they end."""
 
 import enum
+from collections.abc import Callable
 
 import attrs
 
 
-@attrs.frozen
+@attrs.define(eq=False)
 class Call:
     """A whole request of a caller, decoded.
 
@@ -19,8 +20,9 @@
         Seconds for which the caller waits; infinite where it does not say.
     key : str or None
         Key of a client account.
-    head : bytes
-        Request line and headers to pass on, without the blank line.
+    encode_head : callable
+        Returns request line and headers to pass on, without the blank line; called
+        only for calls that are sent.
     body : bytes
         The whole body.
     is_head_method : bool
@@ -32,9 +34,17 @@
     path: str
     patience: float
     key: str | None
-    head: bytes
+    encode_head: Callable[[], bytes]
     body: bytes
     is_head_method: bool = False
+    _head: bytes = attrs.field(default=b"", init=False)
+
+    @property
+    def head(self) -> bytes:
+        """Request line and headers to pass on."""
+        if not self._head:
+            self._head = self.encode_head()
+        return self._head
 
 
 @attrs.frozen
--- a/knapweedlead/mesh/_configuration.py
+++ b/knapweedlead/mesh/_configuration.py
@@ -130,6 +130,7 @@
     account_by_name: dict[str, ClientAccount]
     limits: RequestLimits
     account_by_key: dict[str, ClientAccount] = attrs.field(init=False, repr=False)
+    route_by_name: dict[str, Route] = attrs.field(init=False, repr=False)
     _routes_by_host: dict[str, dict[str, Route]] = attrs.field(init=False, repr=False)
 
     @account_by_key.default
@@ -137,6 +138,10 @@
         accounts = self.account_by_name.values()
         return {key: account for account in accounts for key in account.keys}
 
+    @route_by_name.default
+    def _index_names(self) -> dict[str, Route]:
+        return {route.name: route for route in self.routes}
+
     @_routes_by_host.default
     def _index_routes(self) -> dict[str, dict[str, Route]]:
         by_host: dict[str, dict[str, Route]] = {}
--- a/knapweedlead/mesh/_demand.py
+++ b/knapweedlead/mesh/_demand.py
@@ -232,14 +232,13 @@
     rows: Mapping[str, RouteDemand],
 ) -> dict[str, float]:
     """Return the slot seconds that one call asks of each service, itself included."""
-    route_by_name = {known.name: known for known in configuration.routes}
     total: dict[str, float] = defaultdict(float)
     level = {route.name: 1.0}
     for _ in range(MAX_DEPTH):
         below: dict[str, float] = defaultdict(float)
         for name, calls in level.items():
             row = rows.get(name)
-            known = route_by_name.get(name)
+            known = configuration.route_by_name.get(name)
             if row is None or known is None:
                 continue
             weights = sum(part.weight for part in known.services)
--- a/knapweedlead/platform/_requests.py
+++ b/knapweedlead/platform/_requests.py
@@ -1,6 +1,7 @@
 """Requests and answers as callers and backend servers of the platform speak them."""
 
 import math
+from functools import partial
 
 from result import Err, Ok, Result
 
@@ -72,17 +73,6 @@
     if not request_id or not host or not target.startswith("/"):
         detail = f"expected a request id, a host and a path, got {method} {target!r}"
         return Err(CodecError("request.decode", headers.get("host", "-"), detail))
-    listed = headers.get("connection", "").lower()
-    hop_names = {name.strip() for name in listed.split(",")} if listed else ()
-    lines = [f"{method} {target} HTTP/1.1"]
-    lines += [
-        f"{name}: {value}"
-        for name, value in headers.items()
-        if name not in _DROPPED and name not in hop_names
-    ]
-    if body or method in ("POST", "PUT", "PATCH"):
-        lines.append(f"content-length: {len(body)}")
-    lines.append(f"{CALLER_SERVICE}: {own_service}\r\n")
     return Ok(
         Call(
             request_id=request_id,
@@ -90,13 +80,33 @@
             path=target.partition("?")[0],
             patience=_patience_of(headers),
             key=_key_of(headers),
-            head="\r\n".join(lines).encode("latin-1", "replace"),
+            encode_head=partial(
+                _encode_head, method, target, headers, len(body), own_service
+            ),
             body=body,
             is_head_method=method == "HEAD",
         )
     )
 
 
+def _encode_head(
+    method: str, target: str, headers: dict[str, str], length: int, own_service: str
+) -> bytes:
+    """Return the head of a request as the backend server is to receive it."""
+    listed = headers.get("connection", "").lower()
+    hop_names = {name.strip() for name in listed.split(",")} if listed else ()
+    lines = [f"{method} {target} HTTP/1.1"]
+    lines += [
+        f"{name}: {value}"
+        for name, value in headers.items()
+        if name not in _DROPPED and name not in hop_names
+    ]
+    if length or method in ("POST", "PUT", "PATCH"):
+        lines.append(f"content-length: {length}")
+    lines.append(f"{CALLER_SERVICE}: {own_service}\r\n")
+    return "\r\n".join(lines).encode("latin-1", "replace")
+
+
 def _patience_of(headers: dict[str, str]) -> float:
     try:
         patience = float(headers[DEADLINE]) / _MS_PER_S
--- a/knapweedlead/sidecar/_sidecar.py
+++ b/knapweedlead/sidecar/_sidecar.py
@@ -252,10 +252,11 @@
             return
         links = self.links.lenders()
         rows = merge_rows([self.guard.demand.rows(), *(link.rows for link in links)])
-        routes = [route for route in configuration.routes if not route.is_public]
+        known = [configuration.route_by_name.get(name) for name in rows]
         slot_times = {
             route.name: slot_time_by_service(route, configuration, rows)
-            for route in routes
+            for route in known
+            if route is not None and not route.is_public
         }
         loads = {}
         for service, targets in self.targets_by_service.items():
--- a/knapweedlead/sidecar/main.py
+++ b/knapweedlead/sidecar/main.py
@@ -11,6 +11,7 @@
 
 from knapweedlead.mesh import MeshSettings
 from knapweedlead.platform import boot_path, load_boot_file
+from knapweedlead.process import tune_garbage_collector
 from knapweedlead.sidecar._sidecar import Sidecar
 
 EXIT_BAD_SETTINGS = 2
@@ -37,6 +38,7 @@
         loop.add_signal_handler(number, stopped.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, sidecar)
     await sidecar.start()
+    tune_garbage_collector()
     await stopped.wait()
     await sidecar.stop()
 
