--- a/knapweedlead/http/_caller.py
+++ b/knapweedlead/http/_caller.py
@@ -83,6 +83,7 @@
         self._framed_size = 0
         self._is_in_head = True
         self._is_kept = True
+        self._max_header_bytes = self.server.limits.max_header_bytes
 
     @property
     def peer(self) -> str:
@@ -146,7 +147,10 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep a header; trailers are dropped."""
-        self._check_size(len(name) + len(value), self.server.limits.max_header_bytes)
+        self._size += len(name) + len(value)
+        if self._size > self._max_header_bytes:
+            self._fault = "request_too_large"
+            raise ValueError("request too large")
         if self._is_in_head:
             add_header(self._headers, name, value)
 
--- a/knapweedlead/http/_headers.py
+++ b/knapweedlead/http/_headers.py
@@ -17,10 +17,10 @@
 def add_header(headers: dict[str, str], name: bytes, value: bytes) -> None:
     """Add a header; repeated ones are joined as a list."""
     key = header_name(name)
-    text = value.decode("latin-1")
     if key in headers:
-        text = f"{headers[key]}, {text}"
-    headers[key] = text
+        headers[key] = f"{headers[key]}, {value.decode('latin-1')}"
+    else:
+        headers[key] = value.decode("latin-1")
 
 
 def request_bytes(
