Fewer messages between daemons: dry accounts are asked for less often

Change: the pause doubles up to 0.8 s; demand is told when it is new, every sixth time, and always while a service is half full.

--- a/knapweedlead/mesh/_lending.py
+++ b/knapweedlead/mesh/_lending.py
@@ -13,9 +13,10 @@
 """Daemons asked at once; one alone may be as empty as this one."""
 ANSWER_TIME = 0.1
 """Seconds after which an answer is not waited for any longer."""
-DRY_PAUSE = 0.15
-"""Seconds without questions after nobody had a token; an account over its rate
-would else cost messages for each of its calls."""
+DRY_PAUSE = 0.1
+MAX_DRY_PAUSE = 0.8
+"""Seconds without questions after nobody had a token, doubled each time up to the
+latter; an account over its rate would else cost messages for each of its calls."""
 WANTED_SECONDS = 0.5
 """Tokens asked for, as seconds of this daemon's share of the rate."""
 
@@ -67,6 +68,7 @@
         self.rng = rng
         self._question_by_key: dict[_Key, _Question] = {}
         self._dry_until_by_key: dict[_Key, float] = {}
+        self._dry_pause_by_key: dict[_Key, float] = {}
 
     def ask(
         self,
@@ -114,11 +116,16 @@
             self._end(key, question, now)
         elif not question.waiting:
             del self._question_by_key[key]
+            self._dry_pause_by_key.pop(key, None)
 
     def _end(self, key: _Key, question: _Question, now: float) -> None:
         self._question_by_key.pop(key, None)
         if question.waiting:
-            self._dry_until_by_key[key] = now + DRY_PAUSE
+            pause = self._dry_pause_by_key.get(key, DRY_PAUSE)
+            self._dry_until_by_key[key] = now + pause
+            self._dry_pause_by_key[key] = min(MAX_DRY_PAUSE, 2.0 * pause)
+        else:
+            self._dry_pause_by_key.pop(key, None)
         for on_decided in question.waiting:
             on_decided(False)
 
--- a/knapweedlead/mesh/_shedding.py
+++ b/knapweedlead/mesh/_shedding.py
@@ -18,6 +18,8 @@
 """Exponent with which one look corrects the estimate."""
 MIN_CORRECTION = 0.3
 MAX_CORRECTION = 2.0
+NEAR_FULL = 0.5
+"""Demand on a service relative to its slots from which it is watched closely."""
 RISE_SMOOTHING = 0.5
 FALL_SMOOTHING = 0.3
 """Weight of the newest look in the demand, about two or three looks of memory; a
@@ -63,6 +65,12 @@
     Parameters
     ----------
     rng : random.Random
+
+    Attributes
+    ----------
+    is_near_full : bool
+        Whether the demand on some service comes close to its slots, so that the
+        daemons are to tell each other more often what is asked of them.
     """
 
     def __init__(self, rng: random.Random) -> None:
@@ -75,6 +83,7 @@
         self._slot_times_by_route: Mapping[str, Mapping[str, float]] = {}
         self._share_by_demand: dict[_DemandKey, float] = {}
         self._looked_at: float | None = None
+        self.is_near_full = False
 
     def admit(self, route: str, rank: int) -> bool:
         """Count a call of a caller and return whether it is admitted.
@@ -131,6 +140,11 @@
         for (service, _, _), demand in demands.items():
             self.own_demand_by_service[service] += demand
         self._share_by_demand = {}
+        self.is_near_full = any(
+            load.demand + self.own_demand_by_service.get(service, 0.0)
+            > NEAR_FULL * load.slots
+            for service, load in load_by_service.items()
+        )
         self._cut(demands, load_by_service)
 
     def _cut(
--- a/knapweedlead/sidecar/_sidecar.py
+++ b/knapweedlead/sidecar/_sidecar.py
@@ -214,12 +214,14 @@
         """Tell the peers what callers ask for, and what routes ask for if it is new."""
         rows = self.guard.demand.rows()
         self._asks += 1
-        if is_news(rows, self._told_rows) or self._asks % ASKS_PER_ROWS == 0:
+        is_due = self._asks % ASKS_PER_ROWS == 0
+        is_new = is_due or is_news(rows, self._told_rows)
+        if not (is_new or self.entry.shedder.is_near_full):
+            return
+        if is_new:
             self._told_rows = rows
-        else:
-            rows = {}
         own_demand = self.entry.shedder.own_demand_by_service
-        self.links.tell_demand(demand_frame(rows, own_demand))
+        self.links.tell_demand(demand_frame(rows if is_new else {}, own_demand))
 
     async def _report(self) -> None:
         """Write a line of totals now and then."""
