--- a/knapweedlead/mesh/__init__.py
+++ b/knapweedlead/mesh/__init__.py
@@ -19,7 +19,8 @@
     merge_rows,
     slot_time_by_service,
 )
-from knapweedlead.mesh._entry import Entry, EntryCall, EntrySettings
+from knapweedlead.mesh._entry import Entry
+from knapweedlead.mesh._entry_calls import EntryCall, EntrySettings
 from knapweedlead.mesh._fleet_state import (
     FleetChange,
     FleetState,
@@ -27,7 +28,7 @@
     apply_change,
 )
 from knapweedlead.mesh._freshness import Freshness
-from knapweedlead.mesh._guard import Guard, ServerState, Ticket
+from knapweedlead.mesh._guard import Guard
 from knapweedlead.mesh._lending import TokenExchange
 from knapweedlead.mesh._placement import PLACEMENTS, Target
 from knapweedlead.mesh._quotas import QuotaShares
@@ -38,6 +39,7 @@
 from knapweedlead.mesh._settings import MeshSettings
 from knapweedlead.mesh._shedding import ServiceLoad, Shedder
 from knapweedlead.mesh._store import LeaseGrant, StorePurpose
+from knapweedlead.mesh._tickets import ServerState, Ticket
 
 __all__ = [
     "PLACEMENTS",
--- /dev/null
+++ b/knapweedlead/mesh/_entry_calls.py
@@ -0,0 +1,93 @@
+"""Calls at an entry, and whom the entry works with."""
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import attrs
+
+from knapweedlead.mesh._calls import Call, Failure, Reason, ServerAnswer
+from knapweedlead.mesh._configuration import ClientAccount, Route
+from knapweedlead.mesh._placement import Target
+
+
+@attrs.frozen
+class EntrySettings:
+    """Bounds of an entry.
+
+    Parameters
+    ----------
+    max_staleness : float
+        Seconds since the last confirmation of the configuration after which keys
+        are no longer taken; infinite where a withdrawn key may work on.
+    repeat_share, repeat_cap : float
+        See `RepeatBudget`.
+    """
+
+    max_staleness: float
+    repeat_share: float
+    repeat_cap: float
+
+
+@attrs.define(eq=False)
+class EntryCall:
+    """A call that has no answer yet."""
+
+    exchange: Any
+    call: Call
+    route: Route
+    service: str
+    account: ClientAccount | None
+    priority: int
+    arrived_at: float
+    deadline: float
+    number: int = 0
+    target: Target | None = None
+    sent: int = 0
+    reroutes: int = 0
+    tried: set[str] = attrs.field(factory=set)
+    sent_at: float = 0.0
+    may_have_run: bool = False
+    has_token: bool = False
+    is_done: bool = False
+    last: Failure | None = None
+    on_done: Callable[[Any], Any] | None = None
+
+    @property
+    def is_child(self) -> bool:
+        """Whether the own backend server made the call, so that work went before."""
+        return self.account is None and self.route.is_public
+
+    @property
+    def account_name(self) -> str:
+        """Name of the client account; empty where there is none."""
+        return "" if self.account is None else self.account.name
+
+
+class Replies(Protocol):
+    """Delivers answers to callers."""
+
+    def answer(self, exchange: Any, answer: ServerAnswer) -> None:
+        """Pass a backend server's answer on."""
+
+    def refuse(
+        self, exchange: Any, status: int, reason: Reason, retry_after: float
+    ) -> None:
+        """Answer with a refusal or failure of the daemon's own."""
+
+
+class Recorder(Protocol):
+    """Counts and logs what an entry decides."""
+
+    def ended(self, call: EntryCall, status: int, now: float) -> None:
+        """Record the answer of a backend server."""
+
+    def refused(
+        self, request_id: str, reason: Reason, status: int, call: EntryCall | None
+    ) -> None:
+        """Record a refusal or failure."""
+
+    def repeated(self, call: EntryCall, failure: Failure) -> None:
+        """Record another attempt."""
+
+    def sent(self, call: EntryCall, now: float) -> None:
+        """Record an attempt."""
--- a/knapweedlead/mesh/_guard.py
+++ b/knapweedlead/mesh/_guard.py
@@ -2,9 +2,6 @@
 
 import math
 from collections.abc import Callable
-from typing import Protocol
-
-import attrs
 
 from knapweedlead.admission import QUEUES, QueuedCall
 from knapweedlead.mesh._calls import Failure, Reason, ServerAnswer
@@ -12,6 +9,7 @@
 from knapweedlead.mesh._configuration import MeshConfiguration
 from knapweedlead.mesh._demand import DemandModel
 from knapweedlead.mesh._reports import BackendServer, ServerReport
+from knapweedlead.mesh._tickets import GuardRecorder, Runner, ServerState, Ticket
 
 SERVICE_TIME_SMOOTHING = 0.05
 """Weight of the newest call in the mean service time; about 20 calls of memory."""
@@ -35,106 +33,6 @@
 """Seconds without new calls after the server rejected one as too many."""
 
 
-@attrs.define(eq=False)
-class Ticket:
-    """A call at the guard.
-
-    Parameters
-    ----------
-    number : int
-        Given by the entry, unique for its link.
-    sender : Sender
-        Takes the end of the call.
-    request_id, service, route, account : str
-    priority : int
-    is_idempotent : bool
-    deadline : float
-        Time at which nobody waits any longer.
-    head, body : bytes
-        What the backend server is to receive.
-    is_head_method : bool
-    """
-
-    number: int
-    sender: "Sender"
-    request_id: str
-    service: str
-    route: str
-    account: str
-    priority: int
-    is_idempotent: bool
-    deadline: float
-    head: bytes
-    body: bytes
-    is_head_method: bool = False
-    arrived_at: float = 0.0
-    started_at: float = 0.0
-    run: int = 0
-    is_running: bool = False
-    is_cancelled: bool = False
-
-
-class Sender(Protocol):
-    """Takes how a ticket ended."""
-
-    def answered(self, ticket: Ticket, answer: ServerAnswer) -> None:
-        """Take a whole answer of the backend server."""
-
-    def failed(self, ticket: Ticket, failure: Failure) -> None:
-        """Take the end of a ticket without an answer."""
-
-
-class Runner(Protocol):
-    """Passes calls to the backend server and reports how they end."""
-
-    def run(self, ticket: Ticket, instance: str, remaining: float) -> None:
-        """Send a call; `Guard.answered` or `Guard.failed` follows."""
-
-    def cancel(self, ticket: Ticket) -> None:
-        """Drop the connection of a call; `Guard.failed` follows."""
-
-
-class GuardRecorder(Protocol):
-    """Counts and logs what a guard decides."""
-
-    def attempt_failed(self, ticket: Ticket, failure: Failure, guard: "Guard") -> None:
-        """Record a ticket that ended without an answer."""
-
-    def attempt_answered(
-        self, ticket: Ticket, answer: ServerAnswer, now: float
-    ) -> None:
-        """Record an answer of the backend server."""
-
-
-@attrs.frozen
-class ServerState:
-    """What entries know of a backend server.
-
-    Parameters
-    ----------
-    instance, service : str
-    is_open : bool
-        Whether it takes calls.
-    running, queued, limit : int
-        Calls at the server, calls that wait, calls that it takes at once.
-    service_time : float
-        Mean seconds for a call; 0.0 before the first one has ended.
-    is_cold : bool
-    failure_share : float
-        Part of the recent calls that failed or were rejected.
-    """
-
-    instance: str = ""
-    service: str = ""
-    is_open: bool = False
-    running: int = 0
-    queued: int = 0
-    limit: int = 0
-    service_time: float = 0.0
-    is_cold: bool = False
-    failure_share: float = 0.0
-
-
 class Guard:
     """Runs, queues or refuses calls; at most `limit` of them run at once.
 
--- a/knapweedlead/mesh/_placement.py
+++ b/knapweedlead/mesh/_placement.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from knapweedlead.mesh._guard import ServerState
+from knapweedlead.mesh._tickets import ServerState
 from knapweedlead.parameters import Constraint, Interval, check_parameters
 from knapweedlead.registries import Registry
 
--- /dev/null
+++ b/knapweedlead/sidecar/_serving.py
@@ -0,0 +1,153 @@
+"""Channels by which calls reach the own guard, from peers and from the own entry."""
+
+import asyncio
+from typing import Any
+
+from knapweedlead.mesh import EntryCall, Failure, ServerAnswer, Target, Ticket
+from knapweedlead.sidecar._frames import FrameConnection
+from knapweedlead.sidecar._link_host import LinkHost
+from knapweedlead.sidecar._wire import FrameKind, failure_frame, fleet_frame
+
+
+class AcceptedLink:
+    """Serves the calls of a peer with the own guard; a `Sender` of its tickets."""
+
+    def __init__(self, host: LinkHost, connection: FrameConnection) -> None:
+        self.host = host
+        self.connection = connection
+        self.ticket_by_number: dict[int, Ticket] = {}
+        self._asked_at = 0.0
+        self._heard_at = 0.0
+
+    def on_frame(self, frame: list[Any]) -> None:
+        """Take a frame of the peer."""
+        kind = frame[0]
+        if kind == FrameKind.CALL:
+            self._take_call(frame)
+        elif kind == FrameKind.CANCEL:
+            ticket = self.ticket_by_number.pop(frame[1], None)
+            if ticket is not None:
+                self.host.guard.cancel(ticket, self.host.clock())
+        elif kind == FrameKind.ASK:
+            self._asked_at = frame[1]
+            self._heard_at = self.host.clock()
+            self.tell()
+        elif kind == FrameKind.WANT_FLEET_STATE:
+            self.connection.send(fleet_frame(self.host.fleet_state, frame[1]))
+        elif kind == FrameKind.WANT_TOKENS:
+            _, account, wanted, is_important = frame
+            lent = self.host.lend_tokens(account, wanted, is_important)
+            answer = [FrameKind.TOKENS.value, account, lent, is_important]
+            self.connection.send(answer)
+
+    def _take_call(self, frame: list[Any]) -> None:
+        now = self.host.clock()
+        _, number, request_id, service, route, account, priority, *rest = frame
+        is_idempotent, remaining, head, body, is_head_method = rest
+        ticket = Ticket(
+            number=number,
+            sender=self,
+            request_id=request_id,
+            service=service,
+            route=route,
+            account=account,
+            priority=priority,
+            is_idempotent=is_idempotent,
+            deadline=now + remaining,
+            head=head,
+            body=body,
+            is_head_method=is_head_method,
+        )
+        self.ticket_by_number[number] = ticket
+        self.host.guard.offer(ticket, now)
+
+    def tell(self) -> None:
+        """Tell the peer the own state."""
+        state = self.host.peer_state(self._asked_at, self._heard_at)
+        self.connection.send(state.frame())
+
+    def answered(self, ticket: Ticket, answer: ServerAnswer) -> None:
+        """Send an answer to the peer."""
+        if self.ticket_by_number.pop(ticket.number, None) is None:
+            return
+        self.connection.send(
+            [
+                FrameKind.ANSWER.value,
+                ticket.number,
+                answer.status,
+                answer.headers,
+                answer.body,
+                *self._load(),
+            ]
+        )
+
+    def failed(self, ticket: Ticket, failure: Failure) -> None:
+        """Send a failure to the peer."""
+        if self.ticket_by_number.pop(ticket.number, None) is not None:
+            self.connection.send(failure_frame(ticket.number, failure, self._load()))
+
+    def _load(self) -> tuple[int, int]:
+        guard = self.host.guard
+        return len(guard.running_by_run), len(guard.waiting_by_run)
+
+    def lost(self) -> None:
+        """Drop the calls of a peer that is gone."""
+        now = self.host.clock()
+        tickets, self.ticket_by_number = self.ticket_by_number, {}
+        for ticket in tickets.values():
+            self.host.guard.cancel(ticket, now)
+
+
+class LocalChannel:
+    """Passes calls to the own guard; a `Sender` of its tickets."""
+
+    def __init__(self, host: LinkHost) -> None:
+        self.host = host
+        self.target: Target = None  # type: ignore[assignment]
+        self._ticket_by_number: dict[int, Ticket] = {}
+
+    def send_call(self, call: EntryCall, remaining: float) -> None:
+        """Offer a call to the own guard."""
+        now = self.host.clock()
+        ticket = Ticket(
+            number=call.number,
+            sender=self,
+            request_id=call.call.request_id,
+            service=call.service,
+            route=call.route.name,
+            account=call.account_name,
+            priority=call.priority,
+            is_idempotent=call.route.is_idempotent,
+            deadline=now + remaining,
+            head=call.call.head,
+            body=call.call.body,
+            is_head_method=call.call.is_head_method,
+        )
+        self._ticket_by_number[call.number] = ticket
+        self.host.guard.offer(ticket, now)
+
+    def cancel_call(self, call: EntryCall) -> None:
+        """Drop a call."""
+        ticket = self._ticket_by_number.pop(call.number, None)
+        if ticket is not None:
+            self.host.guard.cancel(ticket, self.host.clock())
+
+    def answered(self, ticket: Ticket, answer: ServerAnswer) -> None:
+        """Hand an answer to the entry."""
+        self._ticket_by_number.pop(ticket.number, None)
+        self._take_load()
+        self.host.entry.answered(ticket.number, answer, self.host.clock())
+
+    def failed(self, ticket: Ticket, failure: Failure) -> None:
+        """Hand a failure to the entry, after the guard is done with the ticket."""
+        self._ticket_by_number.pop(ticket.number, None)
+        self._take_load()
+        loop = asyncio.get_running_loop()
+        loop.call_soon(self._report_failure, ticket.number, failure)
+
+    def _report_failure(self, number: int, failure: Failure) -> None:
+        self.host.entry.failed(number, failure, self.host.clock(), self.target)
+
+    def _take_load(self) -> None:
+        guard = self.host.guard
+        self.target.take_load(len(guard.running_by_run), len(guard.waiting_by_run))
--- a/knapweedlead/sidecar/_sidecar.py
+++ b/knapweedlead/sidecar/_sidecar.py
@@ -32,9 +32,10 @@
 from knapweedlead.platform import PlatformStore, decode_configuration
 from knapweedlead.sidecar._clock import read_clock
 from knapweedlead.sidecar._doors import CallerDoor, ReportDoor, StatusDoor
-from knapweedlead.sidecar._links import ASK_PERIOD, Links, LocalChannel
+from knapweedlead.sidecar._links import ASK_PERIOD, Links
 from knapweedlead.sidecar._recorder import MeshRecorder
 from knapweedlead.sidecar._runner import ServerRunner
+from knapweedlead.sidecar._serving import LocalChannel
 from knapweedlead.sidecar._store_sync import StoreSync
 from knapweedlead.sidecar._wire import PeerState, demand_frame
 
