--- /dev/null
+++ b/knapweedlead/sidecar/_load_watch.py
@@ -0,0 +1,94 @@
+"""What callers ask of all services, told among the daemons."""
+
+from knapweedlead.mesh import (
+    Entry,
+    Guard,
+    RouteDemand,
+    ServiceLoad,
+    Target,
+    is_news,
+    merge_rows,
+    slot_time_by_service,
+)
+from knapweedlead.sidecar._links import Links
+from knapweedlead.sidecar._recorder import MeshRecorder
+from knapweedlead.sidecar._wire import demand_frame
+
+ASKS_PER_ROWS = 6
+"""Rounds of questions for each time that peers are told what routes ask for."""
+
+
+class LoadWatch:
+    """Feeds the shedder with the loads of all services.
+
+    Parameters
+    ----------
+    entry : Entry
+    guard : Guard
+    links : Links
+    targets_by_service : dict of str to list of Target
+    recorder : MeshRecorder
+    """
+
+    def __init__(
+        self,
+        entry: Entry,
+        guard: Guard,
+        links: Links,
+        targets_by_service: dict[str, list[Target]],
+        recorder: MeshRecorder,
+    ) -> None:
+        self.entry = entry
+        self.guard = guard
+        self.links = links
+        self.targets_by_service = targets_by_service
+        self.recorder = recorder
+        self._asks = 0
+        self._told_rows: dict[str, RouteDemand] = {}
+
+    def tell_demand(self) -> None:
+        """Tell the peers what callers ask for, and what routes ask for if it is new."""
+        rows = self.guard.demand.rows()
+        self._asks += 1
+        is_due = self._asks % ASKS_PER_ROWS == 0
+        is_new = is_due or is_news(rows, self._told_rows)
+        if not (is_new or self.entry.shedder.is_near_full):
+            return
+        if is_new:
+            self._told_rows = rows
+        own_demand = self.entry.shedder.own_demand_by_service
+        self.links.tell_demand(demand_frame(rows if is_new else {}, own_demand))
+
+    def look(self, now: float) -> None:
+        """Decide anew what callers' calls are admitted."""
+        configuration = self.entry.configuration
+        if configuration is None:
+            return
+        links = self.links.lenders()
+        rows = merge_rows([self.guard.demand.rows(), *(link.rows for link in links)])
+        known = [configuration.route_by_name.get(name) for name in rows]
+        slot_times = {
+            route.name: slot_time_by_service(route, configuration, rows)
+            for route in known
+            if route is not None and not route.is_public
+        }
+        loads = {}
+        for service, targets in self.targets_by_service.items():
+            opened = [target for target in targets if target.is_open]
+            loads[service] = ServiceLoad(
+                slots=sum(target.state.limit for target in opened),
+                load=sum(target.load for target in opened),
+                demand=sum(link.demand_by_service.get(service, 0.0) for link in links),
+            )
+        self.entry.shedder.look(slot_times, loads, now)
+        self._record_shares()
+
+    def _record_shares(self) -> None:
+        shares = {
+            service: round(share, 2)
+            for service, share in self.entry.shedder.share_by_service.items()
+            if share < 1.0
+        }
+        if shares:
+            text = ",".join(f"{name}:{share}" for name, share in shares.items())
+            self.recorder.log("shedding", shares=text)
--- a/knapweedlead/sidecar/_recorder.py
+++ b/knapweedlead/sidecar/_recorder.py
@@ -2,7 +2,6 @@
 
 import os
 import sys
-import time
 import zlib
 from collections import Counter
 from typing import Any
@@ -18,6 +17,7 @@
     StorePurpose,
     Ticket,
 )
+from knapweedlead.sidecar._clock import read_time_of_day
 
 SAMPLE = 64
 """One in so many calls that end well is logged, the same at each daemon."""
@@ -93,7 +93,7 @@
 
     def log(self, event: str, **fields: Any) -> None:
         """Write a line, unless too many of its kind were written this second."""
-        now = time.time()
+        now = read_time_of_day()
         budget = self._budget_by_event.setdefault(event, _LineBudget())
         if budget.second != int(now):
             dropped, budget.dropped = budget.dropped, 0
--- a/knapweedlead/sidecar/_sidecar.py
+++ b/knapweedlead/sidecar/_sidecar.py
@@ -19,32 +19,26 @@
     QuotaShares,
     RelayChoice,
     Roster,
-    RouteDemand,
     ServerReport,
-    ServiceLoad,
     Shedder,
     Target,
     TokenExchange,
-    is_news,
-    merge_rows,
-    slot_time_by_service,
 )
 from knapweedlead.platform import PlatformStore, decode_configuration
 from knapweedlead.sidecar._clock import read_clock
 from knapweedlead.sidecar._doors import CallerDoor, ReportDoor, StatusDoor
 from knapweedlead.sidecar._links import ASK_PERIOD, Links
+from knapweedlead.sidecar._load_watch import LoadWatch
 from knapweedlead.sidecar._recorder import MeshRecorder
 from knapweedlead.sidecar._runner import ServerRunner
 from knapweedlead.sidecar._serving import LocalChannel
 from knapweedlead.sidecar._store_sync import StoreSync
-from knapweedlead.sidecar._wire import PeerState, demand_frame
+from knapweedlead.sidecar._wire import PeerState
 
 TICK = 0.02
 """Seconds between looks at deadlines and waiting calls."""
 LOOK_PERIOD = 0.25
 """Seconds between looks at the loads of all services."""
-ASKS_PER_ROWS = 6
-"""Rounds of questions for each time that peers are told what routes ask for."""
 REPORT_PERIOD = 10.0
 """Seconds between lines of totals."""
 STALENESS_SHARE = 0.8
@@ -120,6 +114,9 @@
             self.recorder,
             rng,
         )
+        self.load_watch = LoadWatch(
+            self.entry, self.guard, self.links, self.targets_by_service, self.recorder
+        )
         self._number_by_exchange: dict[int, int] = {}
         self.store = PlatformStore(
             settings.store_address, STORE_TIMEOUT, self.recorder.store_call
@@ -134,8 +131,6 @@
         self.is_stopping = False
         self._is_reached_by_step: dict[str, bool] = {}
         self._tasks: list[asyncio.Task[None]] = []
-        self._asks = 0
-        self._told_rows: dict[str, RouteDemand] = {}
 
     # Life.
 
@@ -206,24 +201,11 @@
                 self._divide_quotas(now)
                 self.own_target.take_state(self.guard.state(now))
                 self.guard.demand.learn()
-                self._tell_demand()
+                self.load_watch.tell_demand()
             except Exception as error:
                 self.note_fault("ask", error)
             await asyncio.sleep(ASK_PERIOD)
 
-    def _tell_demand(self) -> None:
-        """Tell the peers what callers ask for, and what routes ask for if it is new."""
-        rows = self.guard.demand.rows()
-        self._asks += 1
-        is_due = self._asks % ASKS_PER_ROWS == 0
-        is_new = is_due or is_news(rows, self._told_rows)
-        if not (is_new or self.entry.shedder.is_near_full):
-            return
-        if is_new:
-            self._told_rows = rows
-        own_demand = self.entry.shedder.own_demand_by_service
-        self.links.tell_demand(demand_frame(rows if is_new else {}, own_demand))
-
     async def _report(self) -> None:
         """Write a line of totals now and then."""
         while True:
@@ -244,44 +226,11 @@
     async def _look(self) -> None:
         while True:
             try:
-                self._look_at_loads(self.clock())
+                self.load_watch.look(self.clock())
             except Exception as error:
                 self.note_fault("look", error)
             await asyncio.sleep(LOOK_PERIOD)
 
-    def _look_at_loads(self, now: float) -> None:
-        configuration = self.entry.configuration
-        if configuration is None:
-            return
-        links = self.links.lenders()
-        rows = merge_rows([self.guard.demand.rows(), *(link.rows for link in links)])
-        known = [configuration.route_by_name.get(name) for name in rows]
-        slot_times = {
-            route.name: slot_time_by_service(route, configuration, rows)
-            for route in known
-            if route is not None and not route.is_public
-        }
-        loads = {}
-        for service, targets in self.targets_by_service.items():
-            opened = [target for target in targets if target.is_open]
-            loads[service] = ServiceLoad(
-                slots=sum(target.state.limit for target in opened),
-                load=sum(target.load for target in opened),
-                demand=sum(link.demand_by_service.get(service, 0.0) for link in links),
-            )
-        self.entry.shedder.look(slot_times, loads, now)
-        self._record_shares()
-
-    def _record_shares(self) -> None:
-        shares = {
-            service: round(share, 2)
-            for service, share in self.entry.shedder.share_by_service.items()
-            if share < 1.0
-        }
-        if shares:
-            text = ",".join(f"{name}:{share}" for name, share in shares.items())
-            self.recorder.log("shedding", shares=text)
-
     def note_fault(self, step: str, error: BaseException) -> None:
         """Record a fault of the daemon's own."""
         self.recorder.count("faults", step)
