Configuration: an entry that cannot be decoded affects that entry only; upload

Change: routes, services, accounts and limits are decoded one by one. A route of an unknown kind counts as not idempotent; a route, account or service with a damaged field is kept as unusable (503, not run) or limited while cold, so that no call falls through to a shorter prefix, loses its rate or needs no key. Each is logged and counted (bad_input, configuration_entry). A document that cannot be decoded at all leaves the last one in force for calls without a key; keys are refused, since one may have been withdrawn. Members and store entries of a newer version are read without their new fields; one damaged entry no longer raises.

Ruled out: translating the word alone, which leaves the next unknown word as fatal.

--- a/knapweedlead/mesh/_calls.py
+++ b/knapweedlead/mesh/_calls.py
@@ -78,6 +78,7 @@
     MALFORMED = "malformed_request"
     NO_CONFIGURATION = "configuration_unknown"
     STALE_CONFIGURATION = "configuration_stale"
+    INVALID_CONFIGURATION = "configuration_invalid"
     UNKNOWN_ROUTE = "unknown_route"
     INVALID_KEY = "invalid_key"
     RATE_EXCEEDED = "rate_exceeded"
--- a/knapweedlead/mesh/_configuration.py
+++ b/knapweedlead/mesh/_configuration.py
@@ -35,6 +35,8 @@
         Maximum number of attempts that reach a backend server.
     is_public : bool
         Whether calls need no key.
+    is_usable : bool
+        False if the entry of the route could not be decoded; its calls are refused.
     """
 
     name: str
@@ -47,6 +49,7 @@
     priority: int
     max_attempts: int
     is_public: bool
+    is_usable: bool = True
 
     def choose_service(self, rng: random.Random) -> str:
         """Return a random service, with probability proportional to its weight."""
@@ -91,6 +94,8 @@
     rate, burst : float
         Calls per second, and calls at once, over the whole fleet; a rate of 0 means
         no limit.
+    is_usable : bool
+        False if the entry of the account could not be decoded; its calls are refused.
     """
 
     name: str
@@ -98,6 +103,7 @@
     priority: int | None
     rate: float
     burst: float
+    is_usable: bool = True
 
 
 @attrs.frozen
@@ -122,6 +128,11 @@
     service_by_name : dict of str to Service
     account_by_name : dict of str to ClientAccount
     limits : RequestLimits
+    requires_keys : bool
+        Whether calls on routes that are not public need a key even if no account
+        is known.
+    problems : tuple of str
+        Parts of the document that could not be decoded, each with the reason.
     """
 
     version: int
@@ -129,6 +140,8 @@
     service_by_name: dict[str, Service]
     account_by_name: dict[str, ClientAccount]
     limits: RequestLimits
+    requires_keys: bool = False
+    problems: tuple[str, ...] = ()
     account_by_key: dict[str, ClientAccount] = attrs.field(init=False, repr=False)
     route_by_name: dict[str, Route] = attrs.field(init=False, repr=False)
     _routes_by_host: dict[str, dict[str, Route]] = attrs.field(init=False, repr=False)
@@ -152,7 +165,7 @@
     @property
     def needs_keys(self) -> bool:
         """Whether calls on routes that are not public need a key."""
-        return bool(self.account_by_name)
+        return self.requires_keys or bool(self.account_by_name)
 
     def route_of(self, host: str, path: str) -> Route | None:
         """Return the route of a host with the longest matching prefix, or None."""
--- a/knapweedlead/mesh/_entry.py
+++ b/knapweedlead/mesh/_entry.py
@@ -60,6 +60,14 @@
     replies : Replies
     recorder : Recorder
     rng : random.Random
+
+    Attributes
+    ----------
+    configuration : MeshConfiguration or None
+        The newest configuration that could be decoded.
+    is_newest_readable : bool
+        Whether that is also the newest one in the store. If not, a key may have been
+        withdrawn, so that calls with keys are refused.
     """
 
     def __init__(
@@ -89,6 +97,7 @@
         self.rng = rng
         self.retry_budget = RetryBudget(settings.repeat_share, settings.repeat_cap)
         self.configuration: MeshConfiguration | None = None
+        self.is_newest_readable = True
         self.call_by_number: dict[int, EntryCall] = {}
         self._numbers = itertools.count(1)
         self._deadlines: list[tuple[float, int]] = []
@@ -117,13 +126,21 @@
         if route is None:
             self._refuse(exchange, call, Reason.UNKNOWN_ROUTE)
             return None
+        if not route.is_usable:
+            self._refuse(exchange, call, Reason.INVALID_CONFIGURATION)
+            return None
         account = None
         if configuration.needs_keys and not route.is_public:
             account = configuration.account_by_key.get(call.key or "")
             if account is None:
                 self._refuse(exchange, call, Reason.INVALID_KEY)
                 return None
-            if not self.freshness.is_fresh(now, self.settings.max_staleness):
+            if not account.is_usable:
+                self._refuse(exchange, call, Reason.INVALID_CONFIGURATION)
+                return None
+            if not self.is_newest_readable or not self.freshness.is_fresh(
+                now, self.settings.max_staleness
+            ):
                 self._refuse(exchange, call, Reason.STALE_CONFIGURATION, 1.0)
                 return None
         entry_call = EntryCall(
@@ -151,7 +168,7 @@
             return
         is_requested = self.token_exchange.request(
             account,
-            lambda is_granted: self._on_token_decided(call, is_granted, now),
+            lambda is_granted, at: self._on_token_decided(call, is_granted, at),
             now,
             is_important,
         )
@@ -240,8 +257,9 @@
         call.times = times
         call.attempts += 1
         if answer.status == FAILURE_STATUS and self._acquire_retry(call, now):
-            failure = Failure(Reason.FAILED, True, True)
-            self._retry(call, failure, now)
+            call.may_have_run = True
+            call.last_failure = Failure(Reason.FAILED, True, True)
+            self._retry(call, call.last_failure, now)
             return
         self._finish(call)
         self.recorder.ended(call, answer.status, now)
--- a/knapweedlead/mesh/_lending.py
+++ b/knapweedlead/mesh/_lending.py
@@ -45,7 +45,7 @@
     untried: list[Lender]
     sent_at: float = 0.0
     requested: int = 0
-    callbacks: list[Callable[[bool], None]] = attrs.field(factory=list)
+    callbacks: list[Callable[[bool, float], None]] = attrs.field(factory=list)
 
 
 class TokenExchange:
@@ -81,11 +81,14 @@
     def request(
         self,
         account: ClientAccount,
-        on_decided: Callable[[bool], None],
+        on_decided: Callable[[bool, float], None],
         now: float,
         is_important: bool = True,
     ) -> bool:
-        """Request a token; return whether `on_decided` will be called."""
+        """Request a token; return whether `on_decided` will be called.
+
+        It is called with whether a token was granted, and the time of the decision.
+        """
         key = account.name, is_important
         request = self._request_by_key.get(key)
         if request is None:
@@ -139,7 +142,7 @@
         if request is None:
             return
         while request.callbacks and self.quotas.try_acquire(account, now, is_important):
-            request.callbacks.pop(0)(True)
+            request.callbacks.pop(0)(True, now)
         if not request.callbacks:
             self._request_by_key.pop(key, None)
             self._backoff_by_key.pop(key, None)
@@ -156,7 +159,7 @@
         self._backoff_until_by_key[key] = now + backoff
         self._backoff_by_key[key] = min(MAX_BACKOFF, 2.0 * backoff)
         for on_decided in request.callbacks:
-            on_decided(False)
+            on_decided(False, now)
 
     def expire(self, now: float) -> None:
         """Query the next lender after a reply timeout, or refuse if none is left."""
--- a/knapweedlead/mesh/tests/harness.py
+++ b/knapweedlead/mesh/tests/harness.py
@@ -205,7 +205,9 @@
 class EntryHarness:
     """An entry with recording channels and replies."""
 
-    def __init__(self, *names, configuration=None, max_staleness=4.0, seed=1):
+    def __init__(
+        self, *names, configuration=None, max_staleness=4.0, seed=1, lenders=()
+    ):
         rng = random.Random(seed)
         state = ServerState("i", "lines", True, 0, 0, 10, 0.05)
         self.targets = []
@@ -222,7 +224,7 @@
             {"lines": self.targets},
             PLACEMENTS.create("least_cost", data_centre="north"),
             self.quotas,
-            TokenExchange(self.quotas, list, rng),
+            TokenExchange(self.quotas, lambda: lenders, rng),
             self.freshness,
             Shedder(rng),
             self.children.append,
--- a/knapweedlead/mesh/tests/test_entry.py
+++ b/knapweedlead/mesh/tests/test_entry.py
@@ -1,6 +1,11 @@
 """Guarantees of the entry: what callers receive, and which calls are retried."""
 
-from knapweedlead.mesh import Failure, Reason
+import itertools
+
+import attrs
+import pytest
+
+from knapweedlead.mesh import Failure, Reason, ServerAnswer
 from knapweedlead.mesh.tests.harness import (
     OK,
     EntryHarness,
@@ -177,3 +182,96 @@
     assert len(harness.sent()) == 1
     harness.entry.answered(call.number, OK, 2.0)
     assert harness.replies.answer_by_exchange["x"] is OK
+
+
+class SlowLender:
+    """A holder whose answer the test gives."""
+
+    name = "holder"
+
+    def request_tokens(self, account, wanted, is_important):
+        """Say nothing yet."""
+
+
+def test_time_spent_waiting_for_a_token_is_taken_off_what_the_server_is_told():
+    account = make_account(rate=1.0, burst=10.0)
+    route = make_route(is_public=False)
+    configuration = make_configuration(route, accounts=[account])
+    harness = EntryHarness(configuration=configuration, lenders=[SlowLender()])
+    harness.freshness.confirm(100.0)
+    members = frozenset({"self", "holder"})
+    harness.quotas.set_members(members, 100.0, {account.name: account})
+    while harness.quotas.try_acquire(account, 100.0):
+        continue
+    call = harness.entry.accept(
+        "x", make_call(key="key-crew", caller_timeout=1.0), 100.0
+    )
+    assert harness.sent() == []
+    harness.entry.token_exchange.receive_tokens(account, 1, 100.3, is_important=False)
+    ((_, remaining),) = [
+        sent for target in harness.targets for sent in target.channel.sent
+    ]
+    assert call.sent_at == 100.3
+    assert remaining == pytest.approx(0.7)
+
+
+def test_retried_call_that_ran_is_not_reported_as_not_run():
+    account = make_account(rate=1.0, burst=2.0)
+    configuration = make_configuration(
+        make_route(is_public=False, max_attempts=3), accounts=[account]
+    )
+    harness = EntryHarness("a", "b", configuration=configuration)
+    harness.freshness.confirm(100.0)
+    members = frozenset({"self"})
+    harness.quotas.set_members(members, 100.0, {account.name: account})
+    call = harness.entry.accept("x", make_call(key="key-crew"), 100.0)
+    failed = ServerAnswer(500, {}, b"")
+    harness.entry.answered(call.number, failed, 100.1)
+    assert len(harness.sent()) == 2
+    while not call.is_done:
+        harness.entry.failed(call.number, NOT_RUN, 100.2, call.target)
+    status, _, _ = harness.replies.refusal_by_exchange["x"]
+    assert status == 502
+    tokens = itertools.takewhile(
+        lambda _: harness.quotas.try_acquire(account, 100.2), itertools.count()
+    )
+    assert len(list(tokens)) == 1
+
+
+def test_calls_of_an_entry_that_could_not_be_decoded_are_refused_as_not_run():
+    unusable = attrs.evolve(make_account("bakers"), is_usable=False)
+    configuration = make_configuration(
+        make_route(),
+        attrs.evolve(make_route("deep", "/read/deep/"), is_usable=False),
+        make_route("own", "/own/", is_public=False),
+        accounts=[unusable, make_account()],
+    )
+    harness = EntryHarness(configuration=configuration)
+    harness.freshness.confirm(1.0)
+    for exchange, path, key in (
+        ("route", "/read/deep/7", None),
+        ("account", "/own/7", "key-bakers"),
+    ):
+        assert harness.entry.accept(exchange, make_call(path, key), 1.0) is None
+        status, reason, retry_after = harness.replies.refusal_by_exchange[exchange]
+        assert (status, reason) == (503, Reason.INVALID_CONFIGURATION)
+        assert retry_after > 0.0
+    assert harness.entry.accept("other", make_call("/read/7"), 1.0) is not None
+    assert harness.entry.accept("key", make_call("/own/7", "key-crew"), 1.0) is not None
+
+
+def test_keys_are_refused_while_the_newest_configuration_cannot_be_decoded():
+    configuration = make_configuration(
+        make_route(),
+        make_route("own", "/own/", is_public=False),
+        accounts=[make_account()],
+    )
+    harness = EntryHarness(configuration=configuration)
+    harness.freshness.confirm(1.0)
+    harness.entry.is_newest_readable = False
+    assert harness.entry.accept("key", make_call("/own/7", "key-crew"), 1.0) is None
+    assert harness.replies.refusal_by_exchange["key"][:2] == (
+        503,
+        Reason.STALE_CONFIGURATION,
+    )
+    assert harness.entry.accept("child", make_call(), 1.0) is not None
--- a/knapweedlead/mesh/tests/test_lending.py
+++ b/knapweedlead/mesh/tests/test_lending.py
@@ -39,7 +39,10 @@
         self.exchange = TokenExchange(self.quotas, lambda: lenders, random.Random(7))
 
     def request(self, now=NOW):
-        return self.exchange.request(ACCOUNT, self.decisions.append, now)
+        return self.exchange.request(ACCOUNT, self._record, now)
+
+    def _record(self, is_granted, at):
+        self.decisions.append(is_granted)
 
 
 def test_one_holder_is_queried_for_one_call():
--- a/knapweedlead/mesh/tests/test_quotas.py
+++ b/knapweedlead/mesh/tests/test_quotas.py
@@ -38,7 +38,12 @@
         else:
             self.account = account
             exchange = self.exchanges[name]
-            exchange.request(account, decisions.append, self.now, is_important)
+            exchange.request(
+                account,
+                lambda is_granted, at: decisions.append(is_granted),
+                self.now,
+                is_important,
+            )
         for borrower, lent in self.pending:
             exchange = self.exchanges[borrower]
             exchange.receive_tokens(account, lent, self.now, is_important)
--- a/knapweedlead/platform/_configuration.py
+++ b/knapweedlead/platform/_configuration.py
@@ -1,7 +1,14 @@
-"""Decoding of the operator's configuration in the platform's store."""
+"""Decoding of the operator's configuration in the platform's store.
+
+One entry that cannot be decoded does not affect the rest of the document: calls that it
+would apply to are refused, and `MeshConfiguration.problems` names the entry.
+"""
 
 import json
-from typing import Any
+import math
+from collections.abc import Callable
+from functools import partial
+from typing import Any, TypeVar
 
 from result import Err, Ok, Result
 
@@ -16,32 +23,89 @@
 )
 from knapweedlead.platform._keys import CONFIGURATION_KEY
 
+UNKNOWN_COLD_START = 3.0
+"""Seconds for which a server stays cold after its start if its service's entry cannot
+be decoded."""
+UNKNOWN_COLD_RATE = 1.0
+"""Calls per second to a cold server if its service's entry cannot be decoded."""
+UNKNOWN_MAX_CONNECTIONS = 64
+"""Connections to a server if its service's entry cannot be decoded."""
+
 _MS_PER_S = 1000.0
 _VERSION_PREFIX = "r"
-_IS_IDEMPOTENT_BY_KIND = {"safe": True, "unsafe": False}
+_IS_IDEMPOTENT_BY_KIND = {"safe": True, "unsafe": False, "upload": False}
+_DECODE_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+
+_Entry = TypeVar("_Entry")
+
+
+class _Problems:
+    """Collects the parts of a document that cannot be decoded."""
+
+    def __init__(self) -> None:
+        self.details: list[str] = []
+
+    def add(self, where: str, error: Exception | str) -> None:
+        """Record a problem; `where` names the entry."""
+        text = error if isinstance(error, str) else f"{type(error).__name__}: {error}"
+        self.details.append(f"{where}: {text}")
+
+    def decode(
+        self,
+        where: str,
+        decode: Callable[[Any], _Entry],
+        fallback: Callable[[Any], _Entry],
+        entry: Any,
+    ) -> _Entry | None:
+        """Return the decoded entry, else its fallback, else None."""
+        try:
+            return decode(entry)
+        except _DECODE_ERRORS as error:
+            self.add(where, error)
+        try:
+            return fallback(entry)
+        except _DECODE_ERRORS as error:
+            self.add(f"{where} (dropped)", error)
+            return None
 
 
 def decode_configuration(value: bytes) -> Result[MeshConfiguration, CodecError]:
-    """Decode the stored value of the configuration, a JSON document."""
+    """Decode the stored value of the configuration, a JSON document.
+
+    Returns
+    -------
+    Result of MeshConfiguration
+        An error if the document as a whole cannot be decoded: it is not JSON, has no
+        version, or one of its lists is not a list.
+    """
+    problems = _Problems()
     try:
         document = json.loads(value)
+        version = _decode_version(document["version"])
+        hosts = _list(document["virtualHosts"])
+        services = _list(document["services"])
+        accounts = _list(document.get("tenants", []))
+        routes = _decode_routes(hosts, problems)
+        service_by_name = _decode_services(services, problems)
+        account_by_name = _decode_accounts(accounts, problems)
+        limits = _decode_limits(document.get("limits", {}), problems)
         configuration = MeshConfiguration(
-            version=_decode_version(document["version"]),
-            routes=tuple(
-                _decode_route(host["host"], path)
-                for host in document["virtualHosts"]
-                for path in host["paths"]
-            ),
-            service_by_name={
-                entry["name"]: _decode_service(entry) for entry in document["services"]
-            },
-            account_by_name={
-                entry["name"]: _decode_account(entry)
-                for entry in document.get("tenants", ())
-            },
-            limits=_decode_limits(document.get("limits", {})),
+            version=version,
+            routes=tuple(routes),
+            service_by_name=service_by_name,
+            account_by_name=account_by_name,
+            limits=limits,
+            requires_keys=bool(accounts),
+            problems=tuple(problems.details),
         )
-    except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
+    except _DECODE_ERRORS as error:
         detail = f"{type(error).__name__}: {error}"
         return Err(CodecError("configuration.decode", CONFIGURATION_KEY, detail))
     return Ok(configuration)
@@ -53,68 +117,206 @@
     return int(text[len(_VERSION_PREFIX) :])
 
 
+def _decode_routes(hosts: list[Any], problems: _Problems) -> list[Route]:
+    routes = []
+    for number, entry in enumerate(hosts):
+        try:
+            host, paths = _text(entry["host"]), _list(entry["paths"])
+        except _DECODE_ERRORS as error:
+            problems.add(f"virtualHosts[{number}]", error)
+            continue
+        for index, path in enumerate(paths):
+            where = f"{host}.paths[{index}]"
+            route = problems.decode(
+                where,
+                partial(_decode_route, host),
+                partial(_unusable_route, host),
+                path,
+            )
+            if route is None:
+                continue
+            if route.is_usable and path["kind"] not in _IS_IDEMPOTENT_BY_KIND:
+                detail = f"unknown kind {path['kind']!r}, taken as not idempotent"
+                problems.add(where, detail)
+            routes.append(route)
+    return routes
+
+
 def _decode_route(host: str, entry: dict[str, Any]) -> Route:
-    prefix = entry["prefix"]
-    if not (prefix.startswith("/") and prefix.endswith("/")):
-        raise ValueError(f"expected a prefix with slashes at both ends, got {prefix!r}")
+    # A kind of a later version may have an effect, so it counts as not idempotent.
+    is_idempotent = _IS_IDEMPOTENT_BY_KIND.get(_text(entry["kind"]), False)
     return Route(
-        name=entry["name"],
+        name=_text(entry["name"]),
         host=host,
-        prefix=prefix,
+        prefix=_prefix(entry["prefix"]),
         services=_decode_backends(entry),
-        is_idempotent=_IS_IDEMPOTENT_BY_KIND[entry["kind"]],
-        timeout=float(entry["timeoutMs"]) / _MS_PER_S,
-        target_latency=float(entry["targetLatencyMs"]) / _MS_PER_S,
-        priority=int(entry.get("priority", 0)),
-        max_attempts=int(entry.get("maxAttempts", 1)),
-        is_public=bool(entry.get("public", False)),
+        is_idempotent=is_idempotent,
+        timeout=_seconds(entry["timeoutMs"]),
+        target_latency=_seconds(entry["targetLatencyMs"]),
+        priority=_count(entry.get("priority", 0)),
+        max_attempts=_count(entry.get("maxAttempts", 1)),
+        is_public=_flag(entry.get("public", False)),
+    )
+
+
+def _unusable_route(host: str, entry: dict[str, Any]) -> Route:
+    """Return a route whose calls are refused.
+
+    It keeps the calls under its prefix from being matched by a shorter prefix, which
+    may lead to another service.
+    """
+    prefix = _prefix(entry["prefix"])
+    name = entry.get("name")
+    return Route(
+        name=name if isinstance(name, str) else f"{host}{prefix}",
+        host=host,
+        prefix=prefix,
+        services=(),
+        is_idempotent=False,
+        timeout=0.0,
+        target_latency=0.0,
+        priority=0,
+        max_attempts=0,
+        is_public=False,
+        is_usable=False,
     )
 
 
 def _decode_backends(entry: dict[str, Any]) -> tuple[WeightedService, ...]:
     backends = entry.get("backends")
     if not backends:
-        return (WeightedService(entry["service"], 1.0),)
+        return (WeightedService(_text(entry["service"]), 1.0),)
     parts = tuple(
-        WeightedService(part["service"], float(part["weight"])) for part in backends
+        WeightedService(_text(part["service"]), _amount(part["weight"]))
+        for part in backends
     )
     if not any(part.weight > 0.0 for part in parts):
         raise ValueError(f"expected at least one weight above 0, got {backends!r}")
     return parts
 
 
+def _decode_services(entries: list[Any], problems: _Problems) -> dict[str, Service]:
+    decoded = [
+        problems.decode(f"services[{i}]", _decode_service, _cautious_service, entry)
+        for i, entry in enumerate(entries)
+    ]
+    return {service.name: service for service in decoded if service is not None}
+
+
 def _decode_service(entry: dict[str, Any]) -> Service:
     return Service(
-        name=entry["name"],
-        health_path=entry["healthPath"],
-        max_connections=int(entry["maxConnections"]),
-        cold_start=float(entry.get("coldStartS", 0.0)),
-        cold_rate=float(entry.get("coldPerS", 0.0)) or float("inf"),
+        name=_text(entry["name"]),
+        health_path=_text(entry["healthPath"]),
+        max_connections=_count(entry["maxConnections"]),
+        cold_start=_amount(entry.get("coldStartS", 0.0)),
+        cold_rate=_amount(entry.get("coldPerS", 0.0)) or math.inf,
+    )
+
+
+def _cautious_service(entry: dict[str, Any]) -> Service:
+    """Return a service whose servers receive few calls while they are cold."""
+    return Service(
+        name=_text(entry["name"]),
+        health_path="/",
+        max_connections=UNKNOWN_MAX_CONNECTIONS,
+        cold_start=UNKNOWN_COLD_START,
+        cold_rate=UNKNOWN_COLD_RATE,
     )
 
 
+def _decode_accounts(
+    entries: list[Any], problems: _Problems
+) -> dict[str, ClientAccount]:
+    decoded = [
+        problems.decode(f"tenants[{i}]", _decode_account, _unusable_account, entry)
+        for i, entry in enumerate(entries)
+    ]
+    return {account.name: account for account in decoded if account is not None}
+
+
 def _decode_account(entry: dict[str, Any]) -> ClientAccount:
     priority = entry.get("priority")
     return ClientAccount(
-        name=entry["name"],
-        keys=tuple(entry["apiKeys"]),
-        priority=None if priority is None else int(priority),
-        rate=float(entry.get("ratePerS", 0.0)),
-        burst=float(entry.get("burst", 0.0)),
+        name=_text(entry["name"]),
+        keys=tuple(_text(key) for key in _list(entry["apiKeys"])),
+        priority=None if priority is None else _count(priority),
+        rate=_amount(entry.get("ratePerS", 0.0)),
+        burst=_amount(entry.get("burst", 0.0)),
     )
 
 
-def _decode_limits(entry: dict[str, Any]) -> RequestLimits:
+def _unusable_account(entry: dict[str, Any]) -> ClientAccount:
+    """Return an account whose calls are refused, with the keys that can be read."""
+    keys = entry.get("apiKeys")
+    readable = keys if isinstance(keys, list) else []
+    return ClientAccount(
+        name=_text(entry["name"]),
+        keys=tuple(key for key in readable if isinstance(key, str)),
+        priority=None,
+        rate=0.0,
+        burst=0.0,
+        is_usable=False,
+    )
+
+
+def _decode_limits(entry: Any, problems: _Problems) -> RequestLimits:
     default = RequestLimits()
+    if not isinstance(entry, dict):
+        problems.add("limits", f"expected an object, got {entry!r}")
+        return default
+
+    def read(name: str, decode: Callable[[Any], _Entry], fallback: _Entry) -> _Entry:
+        if name not in entry:
+            return fallback
+        try:
+            return decode(entry[name])
+        except _DECODE_ERRORS as error:
+            problems.add(f"limits.{name}", error)
+            return fallback
+
     return RequestLimits(
-        max_header_bytes=int(entry.get("maxHeaderBytes", default.max_header_bytes)),
-        max_body_bytes=int(entry.get("maxBodyBytes", default.max_body_bytes)),
-        header_timeout=_decode_seconds(
-            entry, "headerTimeoutMs", default.header_timeout
-        ),
-        idle_timeout=_decode_seconds(entry, "idleTimeoutMs", default.idle_timeout),
+        max_header_bytes=read("maxHeaderBytes", _count, default.max_header_bytes),
+        max_body_bytes=read("maxBodyBytes", _count, default.max_body_bytes),
+        header_timeout=read("headerTimeoutMs", _seconds, default.header_timeout),
+        idle_timeout=read("idleTimeoutMs", _seconds, default.idle_timeout),
     )
 
 
-def _decode_seconds(entry: dict[str, Any], name: str, default: float) -> float:
-    return float(entry[name]) / _MS_PER_S if name in entry else default
+def _text(value: Any) -> str:
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"expected a non-empty string, got {value!r}")
+    return value
+
+
+def _list(value: Any) -> list[Any]:
+    if not isinstance(value, list):
+        raise ValueError(f"expected a list, got {value!r}")
+    return value
+
+
+def _flag(value: Any) -> bool:
+    if not isinstance(value, bool):
+        raise ValueError(f"expected true or false, got {value!r}")
+    return value
+
+
+def _amount(value: Any) -> float:
+    is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
+    if not is_number or not 0.0 <= value < math.inf:
+        raise ValueError(f"expected a number of at least 0, got {value!r}")
+    return float(value)
+
+
+def _count(value: Any) -> int:
+    return int(_amount(value))
+
+
+def _seconds(value: Any) -> float:
+    return _amount(value) / _MS_PER_S
+
+
+def _prefix(value: Any) -> str:
+    prefix = _text(value)
+    if not (prefix.startswith("/") and prefix.endswith("/")):
+        raise ValueError(f"expected a prefix with slashes at both ends, got {prefix!r}")
+    return prefix
--- a/knapweedlead/platform/_keys.py
+++ b/knapweedlead/platform/_keys.py
@@ -11,6 +11,8 @@
 CONFIGURATION_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
 MEMBER_PREFIX = "members/"
+UNDECODABLE = b"{}"
+"""Document without a version, in place of a configuration that is not base64."""
 
 
 def decode_changes(entries: list[dict[str, Any]], revision: int) -> FleetChange:
@@ -30,16 +32,21 @@
     evacuated: dict[str, bool] = {}
     members: dict[str, Member | None] = {}
     for entry in entries:
-        key = entry["key"]
+        key = entry.get("key") if isinstance(entry, dict) else None
+        if not isinstance(key, str):
+            continue
         is_deleted = bool(entry.get("deleted"))
         if key == CONFIGURATION_KEY and not is_deleted:
-            configuration = base64.b64decode(entry["value"])
-            configuration_revision = entry["revision"]
+            # A value that is no text becomes a document that cannot be decoded, so
+            # that the configuration counts as changed.
+            configuration = _decode_value(entry.get("value")) or UNDECODABLE
+            configuration_revision = int(entry["revision"])
         elif key.startswith(EVACUATION_PREFIX):
             evacuated[key.removeprefix(EVACUATION_PREFIX)] = not is_deleted
         elif key.startswith(MEMBER_PREFIX):
             name = key.removeprefix(MEMBER_PREFIX)
-            members[name] = None if is_deleted else _decode_member(name, entry["value"])
+            value = entry.get("value")
+            members[name] = None if is_deleted else _decode_member(name, value)
     return FleetChange(
         revision=revision,
         configuration=configuration,
@@ -55,13 +62,23 @@
     )
 
 
-def _decode_member(name: str, value: str) -> Member | None:
+def _decode_value(value: Any) -> bytes:
+    """Return the decoded bytes of a value; empty if it cannot be decoded."""
     try:
-        document = json.loads(base64.b64decode(value))
-        member = Member(**document)
+        return base64.b64decode(value)
     except (ValueError, TypeError):
+        return b""
+
+
+def _decode_member(name: str, value: Any) -> Member | None:
+    """Return the member in a value, without fields of later versions."""
+    try:
+        document = json.loads(_decode_value(value))
+        fields = {field.name: document[field.name] for field in attrs.fields(Member)}
+    except (ValueError, TypeError, KeyError, RecursionError):
         return None
-    return member if member.name == name else None
+    is_text = all(isinstance(field, str) for field in fields.values())
+    return Member(**fields) if is_text and fields["name"] == name else None
 
 
 def encode_member(member: Member, lease: int) -> dict[str, Any]:
--- a/knapweedlead/platform/tests/test_decoders.py
+++ b/knapweedlead/platform/tests/test_decoders.py
@@ -1,6 +1,7 @@
 """Decoders return a value or a typed error for any input; they never raise."""
 
 import base64
+import copy
 import json
 
 from hypothesis import given
@@ -108,3 +109,141 @@
     assert "boot file in JSON" in str(load_boot_file(path).err_value)
     path.write_text("{}")
     assert "listen" in str(load_boot_file(path).err_value)
+
+
+def decode(document):
+    return decode_configuration(json.dumps(document).encode()).ok_value
+
+
+def with_route(**changes):
+    """Return the configuration with changes to its first route."""
+    document = copy.deepcopy(CONFIGURATION)
+    document["virtualHosts"][0]["paths"][0] |= changes
+    return document
+
+
+def test_upload_is_not_idempotent():
+    configuration = decode(with_route(kind="upload"))
+    assert not configuration.route_by_name["read"].is_idempotent
+    assert configuration.problems == ()
+
+
+def test_unknown_kind_counts_as_not_idempotent_and_is_named():
+    configuration = decode(with_route(kind="stream"))
+    assert not configuration.route_by_name["read"].is_idempotent
+    (problem,) = configuration.problems
+    assert "h.example.paths[0]" in problem
+    assert "'stream'" in problem
+
+
+def damaged_parts():
+    """Return the paths to all values inside an entry of the configuration."""
+    entries = [
+        ("virtualHosts", 0, "paths", index, field)
+        for index, route in enumerate(CONFIGURATION["virtualHosts"][0]["paths"])
+        for field in route
+    ]
+    entries += [
+        ("services", index, field)
+        for index, service in enumerate(CONFIGURATION["services"])
+        for field in service
+    ]
+    entries += [("tenants", 0, field) for field in CONFIGURATION["tenants"][0]]
+    return entries + [("limits", field) for field in CONFIGURATION["limits"]]
+
+
+@given(st.sampled_from(damaged_parts()), json_values)
+def test_one_damaged_part_affects_its_entry_only_and_permits_no_more(path, value):
+    document = copy.deepcopy(CONFIGURATION)
+    *parents, field = path
+    entry = document
+    for key in parents:
+        entry = entry[key]
+    entry[field] = value
+    damaged = decode(document)
+    intact = decode(CONFIGURATION)
+    assert damaged.version == intact.version
+    assert damaged.needs_keys
+    index = path[3] if path[0] == "virtualHosts" else None
+    others = [route for number, route in enumerate(intact.routes) if number != index]
+    assert all(route in damaged.routes for route in others)
+    for route in damaged.routes:
+        known = intact.route_by_name.get(route.name)
+        if known is None or not route.is_usable or known == route:
+            continue
+        # A changed value that is valid is the operator's; a wrong type never is.
+        assert route.is_idempotent <= (known.is_idempotent or field == "kind")
+        assert isinstance(route.is_public, bool)
+        assert not route.is_public or field == "public" or known.is_public
+    for account in damaged.account_by_name.values():
+        assert (
+            account.is_usable
+            or account.keys in ((), ("key-crew",))
+            or field == "apiKeys"
+        )
+        assert account.rate > 0.0 or not account.is_usable or field == "ratePerS"
+
+
+def test_damaged_route_keeps_its_prefix_from_matching_a_shorter_one():
+    document = copy.deepcopy(CONFIGURATION)
+    paths = document["virtualHosts"][0]["paths"]
+    paths.append(paths[0] | {"name": "deep", "prefix": "/read/deep/", "service": 7})
+    configuration = decode(document)
+    assert not configuration.route_of("h.example", "/read/deep/7").is_usable
+    assert configuration.route_of("h.example", "/read/7").is_usable
+
+
+def test_public_as_text_does_not_open_a_route():
+    configuration = decode(with_route(public="false"))
+    assert not configuration.route_by_name["read"].is_usable
+
+
+def test_keys_are_needed_although_no_account_can_be_decoded():
+    configuration = decode(CONFIGURATION | {"tenants": [7]})
+    assert configuration.needs_keys
+    assert configuration.account_by_key == {}
+
+
+def test_account_without_a_readable_rate_keeps_its_keys_but_is_unusable():
+    account = CONFIGURATION["tenants"][0] | {"ratePerS": "unlimited"}
+    configuration = decode(CONFIGURATION | {"tenants": [account]})
+    assert not configuration.account_by_key["key-crew"].is_usable
+
+
+def test_service_that_cannot_be_decoded_is_limited_while_cold():
+    service = CONFIGURATION["services"][0] | {"coldPerS": None}
+    configuration = decode(CONFIGURATION | {"services": [service]})
+    assert configuration.service_by_name["front"].cold_rate < 40.0
+    assert "services[0]" in configuration.problems[0]
+
+
+def newer(document):
+    """Return a document with an unknown field in each object."""
+    if isinstance(document, dict):
+        return {key: newer(value) for key, value in document.items()} | {"added": [1]}
+    if isinstance(document, list):
+        return [newer(value) for value in document]
+    return document
+
+
+def test_unknown_fields_of_a_newer_version_are_ignored():
+    configuration = decode(newer(CONFIGURATION))
+    assert configuration.routes == decode(CONFIGURATION).routes
+    assert configuration.problems == ()
+    heartbeat = decode_heartbeat("i", json.dumps(newer(HEARTBEAT)).encode())
+    assert heartbeat == decode_heartbeat("i", json.dumps(HEARTBEAT).encode())
+    member = Member("a", "10.0.0.1:7000", "s", "z")
+    entry = encode_member(member, 7) | {"revision": 3}
+    document = newer(json.loads(base64.b64decode(entry["value"])))
+    entry["value"] = base64.b64encode(json.dumps(document).encode()).decode()
+    assert decode_changes([entry], 3).joined == (member,)
+
+
+@given(json_values)
+def test_one_damaged_store_entry_affects_only_its_key(value):
+    member = Member("a", "10.0.0.1:7000", "s", "z")
+    valid = encode_member(member, 7) | {"revision": 3}
+    entries = [value, {"key": value}, {"key": "members/b", "value": value}]
+    entries.append({"key": "op/config", "value": value, "revision": 5})
+    change = decode_changes([*entries, valid], 6)
+    assert change.joined == (member,)
--- a/knapweedlead/sidecar/_fleet_tracker.py
+++ b/knapweedlead/sidecar/_fleet_tracker.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Callable
 
-from result import Err
+from result import Err, Ok
 
 from knapweedlead.mesh import (
     Entry,
@@ -29,6 +29,8 @@
 STATE_REQUEST_TIMEOUT = 0.3
 """Seconds to wait for a peer's fleet state before the state is requested from another
 peer."""
+MAX_LOGGED_PROBLEMS = 20
+"""Undecodable entries of one configuration that are logged."""
 UNCONFIRMED_LEAD = -1e6
 """Lead, in seconds, that is sent for a configuration that was never confirmed."""
 
@@ -156,10 +158,13 @@
 
     def _apply_configuration(self, state: FleetState, source: str) -> None:
         decoded = decode_configuration(state.configuration)
+        self.entry.is_newest_readable = isinstance(decoded, Ok)
         if isinstance(decoded, Err):
             self.recorder.bad_input("configuration", str(decoded.err_value))
             return
         configuration = decoded.ok_value
+        for problem in configuration.problems[:MAX_LOGGED_PROBLEMS]:
+            self.recorder.bad_input("configuration_entry", problem)
         current = self.entry.configuration
         if current is not None and configuration.version <= current.version:
             return
@@ -173,6 +178,7 @@
             source=source,
             routes=len(configuration.routes),
             accounts=len(configuration.account_by_name),
+            problems=len(configuration.problems),
         )
 
     def _record_accounts(
--- a/knapweedlead/sidecar/tests/test_fleet_tracker.py
+++ b/knapweedlead/sidecar/tests/test_fleet_tracker.py
@@ -104,3 +104,27 @@
     short = fleet_state_frame(state, state.configuration_revision)
     assert decode_fleet_state(short, state) == state
     assert decode_change(change_frame(5, FleetChange(6)))[1] == FleetChange(6)
+
+
+def test_unreadable_configuration_leaves_the_last_one_in_force_without_keys(tracker):
+    entry = tracker.fleet.entry
+    in_force = entry.configuration
+    state = FleetState(revision=6, configuration=b"{}", configuration_revision=6)
+    tracker.fleet.apply_state(state, "store")
+    assert entry.configuration is in_force
+    assert not entry.is_newest_readable
+    document = json.dumps(CONFIGURATION | {"version": "r9"}).encode()
+    state = FleetState(revision=7, configuration=document, configuration_revision=7)
+    tracker.fleet.apply_state(state, "store")
+    assert entry.configuration.version == 9
+    assert entry.is_newest_readable
+
+
+def test_damaged_entries_are_logged_and_counted(tracker):
+    document = CONFIGURATION | {"version": "r9", "services": [7, 8]}
+    value = json.dumps(document).encode()
+    state = FleetState(revision=6, configuration=value, configuration_revision=6)
+    tracker.fleet.apply_state(state, "store")
+    count = tracker.fleet.recorder.count_by_name
+    assert count["bad_input", "configuration_entry"] == 4
+    assert tracker.fleet.entry.configuration.version == 9
