Demand is summed by one daemon of each data centre; own data centre first

Change: DemandExchange (mesh, no I/O). A daemon reports to the aggregator of its data centre, aggregators send each other one sum, and send the fleet's sum back: one message each way per daemon and period (0.25 s near capacity, else 1 s), at any size. A lost, paused or silent aggregator is replaced; sums expire after 3 s; numbers are checked. Only shedding depends on it. Placement compares targets of the own data centre and a sample of the others, where before a sample of 12 of 102 servers held two local ones.

Also: frames with more fields than this version knows are read (a newer ServerState closed the link before); an exception in a frame's handler costs its link, with its place in the log; an unreadable configuration refuses keys only once a withdrawal could have taken effect.

Ruled out: told only on change beyond a threshold (a surge changes all at once); sampling of a few peers (sums need all).

--- a/knapweedlead/mesh/__init__.py
+++ b/knapweedlead/mesh/__init__.py
@@ -19,11 +19,12 @@
     Service,
     WeightedService,
 )
-from knapweedlead.mesh._demand import (
-    RouteDemand,
-    has_changed,
-    merge_estimates,
-    slot_time_by_service,
+from knapweedlead.mesh._demand import RouteDemand, slot_time_by_service
+from knapweedlead.mesh._demand_exchange import (
+    DemandExchange,
+    DemandSum,
+    Outbox,
+    add_sums,
 )
 from knapweedlead.mesh._entry import Entry
 from knapweedlead.mesh._entry_calls import EntryCall, EntrySettings
@@ -51,11 +52,15 @@
 __all__ = [
     "PROBE_PERIOD",
     "PLACEMENTS",
+    "Outbox",
+    "add_sums",
     "AttemptTimes",
     "BackendServer",
     "Call",
     "ClientAccount",
     "ColdStartLimiter",
+    "DemandExchange",
+    "DemandSum",
     "Entry",
     "EntryCall",
     "EntrySettings",
@@ -89,8 +94,6 @@
     "TokenExchange",
     "apply_change",
     "RouteDemand",
-    "has_changed",
-    "merge_estimates",
     "slot_time_by_service",
     "ServiceLoad",
     "Shedder",
--- a/knapweedlead/mesh/_demand.py
+++ b/knapweedlead/mesh/_demand.py
@@ -1,7 +1,7 @@
 """Estimation of the slot time that a call on a route uses at each service."""
 
 from collections import defaultdict
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from typing import Any
 
 import attrs
@@ -20,8 +20,6 @@
 """Child calls per run from which a route counts as called."""
 MAX_RATIO = 64.0
 PIVOT_EPSILON = 1e-12
-CHANGE_THRESHOLD = 0.2
-"""Relative change from which estimates are announced to other daemons at once."""
 MAX_DEPTH = 24
 """Levels of child calls that are followed; deeper levels are ignored."""
 SLOT_TIME_RISE = 0.03
@@ -192,57 +190,11 @@
     ]
 
 
-def has_changed(
-    estimates: Mapping[str, RouteDemand], announced: Mapping[str, RouteDemand]
-) -> bool:
-    """Return whether estimates differ notably from those announced to other daemons."""
-    if estimates.keys() != announced.keys():
-        return True
-    return any(
-        abs(estimate.slot_time - announced[route].slot_time)
-        > CHANGE_THRESHOLD * announced[route].slot_time
-        or any(
-            abs(ratio - announced[route].ratio_by_child.get(child, 0.0))
-            > CHANGE_THRESHOLD * ratio
-            for child, ratio in estimate.ratio_by_child.items()
-        )
-        for route, estimate in estimates.items()
-    )
-
-
 def _decay(counts: dict[Any, float]) -> None:
     for name in counts:
         counts[name] *= EVIDENCE_DECAY
 
 
-def merge_estimates(
-    tables: Iterable[Mapping[str, RouteDemand]],
-) -> dict[str, RouteDemand]:
-    """Return the means of the estimates of several daemons, by route."""
-    estimates_by_route: dict[str, list[RouteDemand]] = defaultdict(list)
-    for table in tables:
-        for route, estimate in table.items():
-            estimates_by_route[route].append(estimate)
-    return {
-        route: _mean_estimate(estimates)
-        for route, estimates in estimates_by_route.items()
-    }
-
-
-def _mean_estimate(estimates: list[RouteDemand]) -> RouteDemand:
-    children = {child for estimate in estimates for child in estimate.ratio_by_child}
-    return RouteDemand(
-        slot_time=sum(estimate.slot_time for estimate in estimates) / len(estimates),
-        ratio_by_child={
-            child: sum(
-                estimate.ratio_by_child.get(child, 0.0) for estimate in estimates
-            )
-            / len(estimates)
-            for child in children
-        },
-    )
-
-
 def slot_time_by_service(
     route: Route,
     configuration: MeshConfiguration,
--- a/knapweedlead/mesh/_entry.py
+++ b/knapweedlead/mesh/_entry.py
@@ -65,9 +65,9 @@
     ----------
     configuration : MeshConfiguration or None
         The newest configuration that could be decoded.
-    is_newest_readable : bool
-        Whether that is also the newest one in the store. If not, a key may have been
-        withdrawn, so that calls with keys are refused.
+    unreadable_since : float or None
+        Time at which this configuration was last known to be the newest in the store,
+        if the newest one cannot be decoded; None if it can.
     """
 
     def __init__(
@@ -97,7 +97,7 @@
         self.rng = rng
         self.retry_budget = RetryBudget(settings.repeat_share, settings.repeat_cap)
         self.configuration: MeshConfiguration | None = None
-        self.is_newest_readable = True
+        self.unreadable_since: float | None = None
         self.call_by_number: dict[int, EntryCall] = {}
         self._numbers = itertools.count(1)
         self._deadlines: list[tuple[float, int]] = []
@@ -138,9 +138,7 @@
             if not account.is_usable:
                 self._refuse(exchange, call, Reason.INVALID_CONFIGURATION)
                 return None
-            if not self.is_newest_readable or not self.freshness.is_fresh(
-                now, self.settings.max_staleness
-            ):
+            if not self._accepts_keys(now):
                 self._refuse(exchange, call, Reason.STALE_CONFIGURATION, 1.0)
                 return None
         entry_call = EntryCall(
@@ -159,6 +157,13 @@
         self._meter(entry_call, now)
         return entry_call
 
+    def _accepts_keys(self, now: float) -> bool:
+        """Return whether the withdrawal of a key would have become known."""
+        limit = self.settings.max_staleness
+        since = self.unreadable_since
+        is_readable = since is None or now - since <= limit
+        return is_readable and self.freshness.is_fresh(now, limit)
+
     def _meter(self, call: EntryCall, now: float) -> None:
         """Acquire a token for a call, from another daemon if there is none locally."""
         account = call.account
--- a/knapweedlead/mesh/_placement.py
+++ b/knapweedlead/mesh/_placement.py
@@ -73,9 +73,11 @@
         """
 
 
-MAX_CANDIDATES = 12
-"""Targets compared for one call. Comparing all targets of a large service costs more
-than it gains, and makes all entries choose the same few targets."""
+MAX_LOCAL_CANDIDATES = 8
+MAX_REMOTE_CANDIDATES = 6
+"""Targets of the local and of all other data centres that are compared for one call.
+Comparing all targets of a large service costs more than it gains, and makes all entries
+choose the same few targets."""
 UNKNOWN_SERVICE_TIME = 0.01
 """Seconds assumed for a server without a measured service time; short, so that it
 receives calls soon."""
@@ -146,7 +148,12 @@
         excluded: Collection[str] = (),
     ) -> Target | None:
         """Return the open target of least cost."""
-        candidates = spread_sample(targets, MAX_CANDIDATES, rng)
+        local = [t for t in targets if t.data_centre == self.data_centre]
+        remote = [t for t in targets if t.data_centre != self.data_centre]
+        candidates = [
+            *spread_sample(local, MAX_LOCAL_CANDIDATES, rng),
+            *spread_sample(remote, MAX_REMOTE_CANDIDATES, rng),
+        ]
         best = self._cheapest(candidates, rng, excluded)
         if best is None and len(candidates) < len(targets):
             best = self._cheapest(targets, rng, excluded)
--- a/knapweedlead/sidecar/_fleet_tracker.py
+++ b/knapweedlead/sidecar/_fleet_tracker.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Callable
 
-from result import Err, Ok
+from result import Err
 
 from knapweedlead.mesh import (
     Entry,
@@ -158,10 +158,11 @@
 
     def _apply_configuration(self, state: FleetState, source: str) -> None:
         decoded = decode_configuration(state.configuration)
-        self.entry.is_newest_readable = isinstance(decoded, Ok)
         if isinstance(decoded, Err):
+            self._record_unreadable()
             self.recorder.bad_input("configuration", str(decoded.err_value))
             return
+        self.entry.unreadable_since = None
         configuration = decoded.ok_value
         for problem in configuration.problems[:MAX_LOGGED_PROBLEMS]:
             self.recorder.bad_input("configuration_entry", problem)
@@ -181,6 +182,11 @@
             problems=len(configuration.problems),
         )
 
+    def _record_unreadable(self) -> None:
+        """Record since when the configuration in force may be outdated."""
+        if self.entry.unreadable_since is None:
+            self.entry.unreadable_since = self.freshness.confirmed_at
+
     def _record_accounts(
         self, before: MeshConfiguration | None, after: MeshConfiguration
     ) -> None:
--- a/knapweedlead/sidecar/_link_host.py
+++ b/knapweedlead/sidecar/_link_host.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from knapweedlead.mesh import Entry, FleetChange, FleetState, Guard
+from knapweedlead.mesh import DemandExchange, Entry, FleetChange, FleetState, Guard
 from knapweedlead.sidecar._wire import PeerState
 
 
@@ -29,6 +29,7 @@
 
     entry: Entry
     guard: Guard
+    demand_exchange: DemandExchange
 
     @property
     def fleet(self) -> FleetView:
@@ -49,3 +50,6 @@
 
     def record_link_change(self, name: str, is_up: bool, detail: str) -> None:
         """Log that a link was opened or lost."""
+
+    def record_fault(self, step: str, error: BaseException) -> None:
+        """Count and log an unexpected exception."""
--- a/knapweedlead/sidecar/_links.py
+++ b/knapweedlead/sidecar/_links.py
@@ -1,7 +1,7 @@
 """All links between a daemon and its peers."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from knapweedlead.http import split_address
@@ -50,8 +50,13 @@
 
     def _on_frame(self, connection: FrameConnection, frame: list[Any]) -> None:
         link = self.accepted.get(connection)
-        if link is not None:
+        if link is None:
+            return
+        try:
             link.on_frame(frame)
+        except Exception as error:
+            self.host.record_fault("link", error)
+            connection.abort("frame that cannot be handled")
 
     def _on_lost(self, connection: FrameConnection, detail: str) -> None:
         link = self.accepted.pop(connection, None)
@@ -92,6 +97,22 @@
         for connection in self.accepted:
             connection.send_encoded(data)
 
+    def send_to(self, names: Iterable[str], frame: list[Any]) -> None:
+        """Send a frame on the outgoing links to peers; lost links are skipped."""
+        data = encode_frame(frame)
+        links = (self.outgoing_by_name.get(name) for name in names)
+        for link in links:
+            if link is not None and link.connection is not None:
+                link.connection.send_encoded(data)
+
+    def reply_to(self, names: Iterable[str], frame: list[Any]) -> None:
+        """Send a frame to peers on the links that they have opened."""
+        data = encode_frame(frame)
+        wanted = frozenset(names)
+        for connection, link in self.accepted.items():
+            if link.peer_name in wanted:
+                connection.send_encoded(data)
+
     def send_state_to_all(self) -> None:
         """Send the state of this daemon to all peers that have opened a link."""
         for link in self.accepted.values():
--- a/knapweedlead/sidecar/_outgoing_link.py
+++ b/knapweedlead/sidecar/_outgoing_link.py
@@ -12,7 +12,6 @@
     LinkAction,
     LinkMonitor,
     Member,
-    RouteDemand,
     ServerAnswer,
     Target,
 )
@@ -47,8 +46,6 @@
     reconnect_at: float = 0.0
     is_removed: bool = False
     is_watching: bool = False
-    demand_by_route: dict[str, RouteDemand] = attrs.field(factory=dict)
-    demand_by_service: dict[str, float] = attrs.field(factory=dict)
     _pending_calls: set[int] = attrs.field(factory=set)
 
     @property
@@ -143,11 +140,18 @@
             self.connection.send([FrameKind.CANCEL.value, call.number])
 
     def _on_frame(self, connection: FrameConnection, frame: list[Any]) -> None:
+        try:
+            self._handle_frame(frame)
+        except Exception as error:
+            self.host.record_fault("link", error)
+            connection.abort("frame that cannot be handled")
+
+    def _handle_frame(self, frame: list[Any]) -> None:
         now = self.host.clock()
         self.monitor.record_message(now)
         kind = frame[0]
         if kind == FrameKind.ANSWER:
-            _, number, status, headers, body, running, queued, waited, ran = frame
+            number, status, headers, body, running, queued, waited, ran = frame[1:9]
             self._pending_calls.discard(number)
             self.target.apply_load(running, queued)
             answer = ServerAnswer(status, headers, body)
@@ -166,11 +170,11 @@
             base, change = decode_change(frame)
             if self.host.fleet.apply_peer_change(base, change, self.member.name):
                 self._request_fleet_state()
-        elif kind == FrameKind.DEMAND:
-            demand_by_route, self.demand_by_service = decode_demand(frame)
-            self.demand_by_route = demand_by_route or self.demand_by_route
+        elif kind == FrameKind.DEMAND_FLEET_SUM:
+            sender, total = decode_demand(frame)
+            self.host.demand_exchange.receive_fleet_sum(sender, total, now)
         elif kind == FrameKind.TOKEN_GRANT:
-            self.host.receive_tokens(*frame[1:])
+            self.host.receive_tokens(*frame[1:5])
 
     def _handle_state(self, state: PeerState) -> None:
         if not self.target.is_up:
--- a/knapweedlead/sidecar/_serving.py
+++ b/knapweedlead/sidecar/_serving.py
@@ -6,16 +6,28 @@
 from knapweedlead.mesh import EntryCall, Failure, ServerAnswer, Target, Ticket
 from knapweedlead.sidecar._frames import FrameConnection
 from knapweedlead.sidecar._link_host import LinkHost
-from knapweedlead.sidecar._wire import FrameKind, failure_frame, fleet_state_frame
+from knapweedlead.sidecar._wire import (
+    FrameKind,
+    decode_demand,
+    failure_frame,
+    fleet_state_frame,
+)
 
 
 class AcceptedLink:
-    """Passes the calls of a peer to the local guard; `Sender` of their tickets."""
+    """Passes the calls of a peer to the local guard; `Sender` of their tickets.
+
+    Attributes
+    ----------
+    peer_name : str
+        Name of the peer; empty until the peer has reported its demand.
+    """
 
     def __init__(self, host: LinkHost, connection: FrameConnection) -> None:
         self.host = host
         self.connection = connection
         self.ticket_by_number: dict[int, Ticket] = {}
+        self.peer_name = ""
         self._probe_sent_at = 0.0
         self._probe_received_at = 0.0
 
@@ -35,15 +47,23 @@
         elif kind == FrameKind.FLEET_STATE_REQUEST:
             self.connection.send(fleet_state_frame(self.host.fleet.state, frame[1]))
         elif kind == FrameKind.TOKEN_REQUEST:
-            _, account, wanted, is_important = frame
+            account, wanted, is_important = frame[1:4]
             lent, retry_after = self.host.lend_tokens(account, wanted, is_important)
             kind = FrameKind.TOKEN_GRANT.value
             self.connection.send([kind, account, lent, is_important, retry_after])
+        elif kind == FrameKind.DEMAND_REPORT:
+            self.peer_name, part = decode_demand(frame)
+            exchange = self.host.demand_exchange
+            exchange.receive_report(self.peer_name, part, self.host.clock())
+        elif kind == FrameKind.DEMAND_PEER_SUM:
+            sender, part = decode_demand(frame)
+            exchange = self.host.demand_exchange
+            exchange.receive_peer_sum(sender, part, self.host.clock())
 
     def _handle_call(self, frame: list[Any]) -> None:
         now = self.host.clock()
         _, number, request_id, service, route, account, priority, *rest = frame
-        is_idempotent, remaining, head, body, is_head_method = rest
+        is_idempotent, remaining, head, body, is_head_method = rest[:5]
         ticket = Ticket(
             number=number,
             sender=self,
--- a/knapweedlead/sidecar/_sidecar.py
+++ b/knapweedlead/sidecar/_sidecar.py
@@ -3,11 +3,13 @@
 import asyncio
 import math
 import random
+import traceback
 
 from knapweedlead.mesh import (
     PLACEMENTS,
     PROBE_PERIOD,
     Call,
+    DemandExchange,
     Entry,
     EntrySettings,
     Freshness,
@@ -58,6 +60,10 @@
 """Seconds by which the process exits before the platform would kill it."""
 
 
+TRACEBACK_FRAMES = 4
+"""Innermost functions of a traceback that are logged."""
+
+
 class Sidecar:
     """One daemon on one event loop.
 
@@ -107,8 +113,14 @@
             self.recorder,
             rng,
         )
+        self.demand_exchange = DemandExchange(settings.name, settings.data_centre)
         self.load_tracker = LoadTracker(
-            self.entry, self.guard, self.links, self.targets_by_service, self.recorder
+            self.entry,
+            self.guard,
+            self.links,
+            self.demand_exchange,
+            self.targets_by_service,
+            self.recorder,
         )
         self._number_by_exchange: dict[int, int] = {}
         self.store = PlatformStore(
@@ -222,7 +234,6 @@
                 self.fleet.divide_quotas(now)
                 self.local_target.apply_state(self.guard.state(now))
                 self.guard.demand.update()
-                self.load_tracker.broadcast_demand(now)
             except Exception as error:
                 self.record_fault("ask", error)
             await asyncio.sleep(PROBE_PERIOD)
@@ -248,7 +259,9 @@
     async def _update_load(self) -> None:
         while True:
             try:
-                self.load_tracker.update(self.clock())
+                now = self.clock()
+                self.load_tracker.update(now)
+                self.load_tracker.send_demand(now)
             except Exception as error:
                 self.record_fault("look", error)
             await asyncio.sleep(LOAD_UPDATE_PERIOD)
@@ -256,7 +269,9 @@
     def record_fault(self, step: str, error: BaseException) -> None:
         """Count and log an exception raised in a step of the daemon."""
         self.recorder.count("faults", step)
-        self.recorder.log("fault", step=step, error=repr(error))
+        frames = traceback.extract_tb(error.__traceback__)
+        where = ",".join(f"{f.name}:{f.lineno}" for f in frames[-TRACEBACK_FRAMES:])
+        self.recorder.log("fault", step=step, error=repr(error), where=where)
 
     def _readiness(self) -> tuple[int, bytes]:
         is_ready = self.entry.configuration is not None and not self.is_stopping
--- a/knapweedlead/sidecar/_wire.py
+++ b/knapweedlead/sidecar/_wire.py
@@ -1,6 +1,7 @@
 """Encoding of the frames between daemons."""
 
 import enum
+import math
 import zlib
 from functools import lru_cache
 from typing import Any
@@ -8,6 +9,7 @@
 import attrs
 
 from knapweedlead.mesh import (
+    DemandSum,
     EntryCall,
     Failure,
     FleetChange,
@@ -18,9 +20,16 @@
     ServerState,
 )
 
+_SERVER_FIELDS = len(attrs.fields(ServerState))
+_MEMBER_FIELDS = len(attrs.fields(Member))
+
 
 class FrameKind(enum.IntEnum):
-    """Kind of a frame; the first field of each frame."""
+    """Kind of a frame; the first field of each frame.
+
+    Kind 11 was used by earlier versions. Unknown kinds are ignored, and so are fields
+    that a later version appends to a frame.
+    """
 
     CALL = 1
     CANCEL = 2
@@ -32,8 +41,10 @@
     FLEET_STATE = 8
     TOKEN_REQUEST = 9
     TOKEN_GRANT = 10
-    DEMAND = 11
     FLEET_CHANGE = 12
+    DEMAND_REPORT = 13
+    DEMAND_PEER_SUM = 14
+    DEMAND_FLEET_SUM = 15
 
 
 def call_frame(call: EntryCall, remaining: float) -> list[Any]:
@@ -118,7 +129,8 @@
     def from_frame(cls, frame: list[Any]) -> "PeerState":
         """Return the state in a frame."""
         requested_at, lead, revision, is_watching = frame[1:5]
-        return cls(requested_at, lead, revision, is_watching, ServerState(*frame[5:]))
+        server = ServerState(*frame[5 : 5 + _SERVER_FIELDS])
+        return cls(requested_at, lead, revision, is_watching, server)
 
 
 def fleet_state_frame(state: FleetState, known_configuration: int) -> list[Any]:
@@ -154,9 +166,9 @@
     The configuration is copied from `known` if `known` has the same revision of the
     configuration; the frame may then leave the configuration out.
     """
-    _, revision, configuration_revision, compressed, evacuated, rows = frame
+    revision, configuration_revision, compressed, evacuated, rows = frame[1:6]
     is_known = configuration_revision == known.configuration_revision
-    members = [Member(*row) for row in rows]
+    members = [Member(*row[:_MEMBER_FIELDS]) for row in rows]
     return FleetState(
         revision=revision,
         configuration=known.configuration if is_known else zlib.decompress(compressed),
@@ -185,35 +197,54 @@
 
 def decode_change(frame: list[Any]) -> tuple[int, FleetChange]:
     """Return the base revision of the changes in a frame, and the changes."""
-    _, base, revision, configuration_revision, evacuated, returned, rows, left = frame
+    base, revision, configuration_revision, evacuated, returned, rows, left = frame[1:8]
     change = FleetChange(
         revision=revision,
         configuration_revision=configuration_revision,
         evacuated=tuple(evacuated),
         returned=tuple(returned),
-        joined=tuple(Member(*row) for row in rows),
+        joined=tuple(Member(*row[:_MEMBER_FIELDS]) for row in rows),
         left=tuple(left),
     )
     return base, change
 
 
-def demand_frame(
-    demand_by_route: dict[str, RouteDemand], demand_by_service: dict[str, float]
-) -> list[Any]:
-    """Return the frame with the demand of routes and the callers' demand by service."""
+def demand_frame(kind: FrameKind, sender: str, part: DemandSum) -> list[Any]:
+    """Return the frame of a demand kind that carries a sum of demands."""
     return [
-        FrameKind.DEMAND.value,
+        kind.value,
+        sender,
+        part.demand_by_service,
         {
-            route: [demand.slot_time, demand.ratio_by_child]
-            for route, demand in demand_by_route.items()
+            route: [estimate.slot_time, estimate.ratio_by_child, weight]
+            for route, estimate in part.estimate_by_route.items()
+            if (weight := part.weight_by_route.get(route, 0.0)) > 0.0
         },
-        dict(demand_by_service),
     ]
 
 
-def decode_demand(
-    frame: list[Any],
-) -> tuple[dict[str, RouteDemand], dict[str, float]]:
-    """Return the demand by route, and the callers' demand by service, in a frame."""
-    _, rows, demand_by_service = frame
-    return {route: RouteDemand(*row) for route, row in rows.items()}, demand_by_service
+def decode_demand(frame: list[Any]) -> tuple[str, DemandSum]:
+    """Return the sender and the sum of demands in a frame.
+
+    Raises
+    ------
+    ValueError
+        If a number is negative or not finite.
+    """
+    sender, demand_by_service, rows = frame[1:4]
+    estimate_by_route = {}
+    weight_by_route = {}
+    for route, row in rows.items():
+        slot_time, ratio_by_child, weight = row[:3]
+        ratios = {child: _amount(ratio) for child, ratio in ratio_by_child.items()}
+        estimate_by_route[route] = RouteDemand(_amount(slot_time), ratios)
+        weight_by_route[route] = _amount(weight)
+    demand = {service: _amount(slots) for service, slots in demand_by_service.items()}
+    return str(sender), DemandSum(demand, estimate_by_route, weight_by_route)
+
+
+def _amount(value: Any) -> float:
+    amount = float(value)
+    if not 0.0 <= amount < math.inf:
+        raise ValueError(f"expected a finite number of at least 0, got {value!r}")
+    return amount
