State of a server goes to other data centres only when it matters; link traffic counted

Cause: each heartbeat sent the daemon's state on all links, 25,000 frames a second at 196 daemons, and each daemon probed its three relays 3.3 times a second (650 probes a second at a relay).

Change: without a change of start, openness or coldness, the state goes to the own data centre. Relays are probed at most each 0.75 s in large fleets, a quarter of the time limit of a confirmation. links.frames and links.bytes by purpose and distance on the metrics page.

--- a/knapweedlead/mesh/_link_monitor.py
+++ b/knapweedlead/mesh/_link_monitor.py
@@ -9,6 +9,12 @@
 PROBES_PER_SECOND = 40.0
 """Probes per second on all idle links of a daemon together. With their replies they use
 about 10 KB/s, below the limit of 15 KB/s for control traffic."""
+CONFIRMATION_PROBES_PER_SECOND = 250.0
+"""Probes per second that one relay receives from the daemons whose configuration it
+confirms, in a fleet in which each of them probes less often for that reason."""
+MAX_CONFIRMATION_PERIOD = 0.75
+"""Longest interval, in seconds, between probes of a relay; a quarter of the time after
+which a daemon without a confirmation watches the store itself."""
 SUSPECT_AFTER = 0.5
 """Seconds without a reply after which a link receives no new calls: two probes and the
 retransmission of a lost packet."""
@@ -34,9 +40,11 @@
 class LinkMonitor:
     """Decides when to probe the peer of one link, and when to suspect or drop it.
 
-    A link on which replies are due, or whose peer confirms the configuration, is
-    probed at each evaluation unless a message has just been received. Idle links share
-    a fixed rate of probes, so that the load does not grow with the size of the fleet.
+    A link on which replies are due is probed at each evaluation unless a message has
+    just been received. Idle links share a fixed rate of probes, so that the load does
+    not grow with the size of the fleet. A peer that confirms the configuration is
+    probed less often in a large fleet, but several times within the time limit of a
+    confirmation.
 
     Attributes
     ----------
@@ -60,16 +68,20 @@
         if self.unanswered_since is None:
             self.unanswered_since = now
 
-    def evaluate(self, is_needed: bool, links: int, now: float) -> LinkAction:
+    def evaluate(
+        self, is_needed: bool, links: int, now: float, is_confirming: bool = False
+    ) -> LinkAction:
         """Return the action to take now; called every `PROBE_PERIOD` seconds.
 
         Parameters
         ----------
         is_needed : bool
-            Whether replies or confirmations are due on the link.
+            Whether replies are due on the link.
         links : int
             Number of links of this daemon.
         now : float
+        is_confirming : bool
+            Whether the peer confirms the configuration.
         """
         evaluated_at, self._evaluated_at = self._evaluated_at, now
         if (
@@ -83,6 +95,16 @@
             if silence > LOST_AFTER:
                 return LinkAction.DROP
             return LinkAction.SUSPECT if silence > SUSPECT_AFTER else LinkAction.PROBE
-        idle_period = max(PROBE_PERIOD, links / PROBES_PER_SECOND)
-        period = PROBE_PERIOD / 2.0 if is_needed else idle_period
+        period = _probe_period(is_needed, is_confirming, links)
         return LinkAction.PROBE if now - self.received_at >= period else LinkAction.IDLE
+
+
+def _probe_period(is_needed: bool, is_confirming: bool, links: int) -> float:
+    """Return the seconds without a message after which a link is probed."""
+    shortest = PROBE_PERIOD / 2.0
+    if is_needed:
+        return shortest
+    if is_confirming:
+        shared = links / CONFIRMATION_PROBES_PER_SECOND
+        return max(shortest, min(MAX_CONFIRMATION_PERIOD, shared))
+    return max(PROBE_PERIOD, links / PROBES_PER_SECOND)
--- a/knapweedlead/mesh/tests/test_link_monitor.py
+++ b/knapweedlead/mesh/tests/test_link_monitor.py
@@ -1,6 +1,9 @@
 """Liveness of links: when a daemon probes, suspects and drops its peers."""
 
+import itertools
+
 from knapweedlead.mesh import PROBE_PERIOD, LinkAction, LinkMonitor
+from knapweedlead.mesh._relays import MAX_UNCONFIRMED
 
 START = 100.0
 NEEDED = True
@@ -64,3 +67,20 @@
     assert (
         evaluate_until(monitor, LinkAction.SUSPECT, start=resumed_at) - resumed_at < 1.0
     )
+
+
+def test_relay_of_a_large_fleet_is_probed_several_times_before_it_is_replaced():
+    for links in (14, 195, 569):
+        monitor = LinkMonitor(START)
+        probed_at = [START]
+        for number in range(1, 40):
+            now = START + number * PROBE_PERIOD
+            action = monitor.evaluate(IDLE, links, now, is_confirming=True)
+            if action is LinkAction.PROBE:
+                monitor.record_probe(now)
+                monitor.record_message(now)
+                probed_at.append(now)
+        longest = max(b - a for a, b in itertools.pairwise(probed_at))
+        assert longest <= MAX_UNCONFIRMED / 3.0
+        per_second = len(probed_at) / (probed_at[-1] - START)
+        assert per_second * links <= 700.0
--- a/knapweedlead/sidecar/_frames.py
+++ b/knapweedlead/sidecar/_frames.py
@@ -35,6 +35,11 @@
         Called once with the connection and the reason for the loss.
     on_open : callable or None
         Called with the connection once it is open.
+
+    Attributes
+    ----------
+    traffic : callable or None
+        Called with the kind and the size of each frame that is sent.
     """
 
     def __init__(
@@ -47,7 +52,7 @@
         self.on_lost = on_lost
         self.on_open = on_open
         self.transport: asyncio.Transport = None  # type: ignore[assignment]
-        self.owner: Any = None
+        self.traffic: Callable[[int, int], None] | None = None
         self.is_closed = False
         self._close_detail = "connection closed"
         self._buffer = b""
@@ -91,12 +96,14 @@
     def send(self, frame: list[Any]) -> None:
         """Send a frame with the other frames of this event loop iteration."""
         if not self.is_closed:
-            self.send_encoded(encode_frame(frame))
+            self.send_encoded(encode_frame(frame), frame[0])
 
-    def send_encoded(self, data: bytes) -> None:
+    def send_encoded(self, data: bytes, kind: int) -> None:
         """Send an encoded frame with the other frames of this loop iteration."""
         if self.is_closed:
             return
+        if self.traffic is not None:
+            self.traffic(kind, len(data))
         if not self._pending_writes:
             asyncio.get_running_loop().call_soon(self._flush)
         self._pending_writes.append(data)
--- a/knapweedlead/sidecar/_link_host.py
+++ b/knapweedlead/sidecar/_link_host.py
@@ -2,7 +2,15 @@
 
 from typing import Protocol
 
-from knapweedlead.mesh import DemandExchange, Entry, FleetChange, FleetState, Guard
+from knapweedlead.mesh import (
+    DemandExchange,
+    Entry,
+    FleetChange,
+    FleetState,
+    Guard,
+    Member,
+)
+from knapweedlead.sidecar._traffic import LinkTraffic
 from knapweedlead.sidecar._wire import PeerState
 
 
@@ -10,6 +18,7 @@
     """Fleet state that links send and receive."""
 
     state: FleetState
+    local_member: Member
 
     def peer_state(self, requested_at: float, received_at: float) -> PeerState:
         """Return the state that answers a peer's probe."""
@@ -30,6 +39,7 @@
     entry: Entry
     guard: Guard
     demand_exchange: DemandExchange
+    traffic: LinkTraffic
 
     @property
     def fleet(self) -> FleetView:
--- a/knapweedlead/sidecar/_links.py
+++ b/knapweedlead/sidecar/_links.py
@@ -95,7 +95,7 @@
         """Send the same frame to all peers that have opened a link."""
         data = encode_frame(frame)
         for connection in self.accepted:
-            connection.send_encoded(data)
+            connection.send_encoded(data, frame[0])
 
     def send_to(self, names: Iterable[str], frame: list[Any]) -> None:
         """Send a frame on the outgoing links to peers; lost links are skipped."""
@@ -103,7 +103,7 @@
         links = (self.outgoing_by_name.get(name) for name in names)
         for link in links:
             if link is not None and link.connection is not None:
-                link.connection.send_encoded(data)
+                link.connection.send_encoded(data, frame[0])
 
     def reply_to(self, names: Iterable[str], frame: list[Any]) -> None:
         """Send a frame to peers on the links that they have opened."""
@@ -111,13 +111,19 @@
         wanted = frozenset(names)
         for connection, link in self.accepted.items():
             if link.peer_name in wanted:
-                connection.send_encoded(data)
+                connection.send_encoded(data, frame[0])
 
     def send_state_to_all(self) -> None:
         """Send the state of this daemon to all peers that have opened a link."""
         for link in self.accepted.values():
             link.send_state()
 
+    def send_state_to_data_centre(self, data_centre: str) -> None:
+        """Send the state of this daemon to the peers of one data centre."""
+        for link in self.accepted.values():
+            if link.peer_data_centre == data_centre:
+                link.send_state()
+
     @property
     def up_count(self) -> int:
         """Number of links whose peer is responsive."""
--- a/knapweedlead/sidecar/_outgoing_link.py
+++ b/knapweedlead/sidecar/_outgoing_link.py
@@ -66,10 +66,8 @@
             if self.opening is None and now >= self.reconnect_at:
                 self.opening = asyncio.ensure_future(self._open())
             return
-        is_needed = (
-            bool(self._pending_calls) or self.is_watching or not self.target.is_up
-        )
-        action = self.monitor.evaluate(is_needed, links, now)
+        is_needed = bool(self._pending_calls) or not self.target.is_up
+        action = self.monitor.evaluate(is_needed, links, now, self.is_watching)
         if action is LinkAction.DROP:
             self.connection.abort("silent")
             return
@@ -107,8 +105,12 @@
             return
         self.connection = connection
         now = self.host.clock()
+        local = self.host.fleet.local_member
+        is_remote = local.data_centre != self.member.data_centre
+        connection.traffic = self.host.traffic.by_scope(is_remote)
         self.monitor = LinkMonitor(now)
-        self._send_probe(connection, now)
+        self.monitor.record_probe(now)
+        connection.send([FrameKind.PROBE.value, now, local.name, local.data_centre])
 
     def _on_lost(self, connection: FrameConnection, detail: str) -> None:
         if self.connection is not connection:
--- a/knapweedlead/sidecar/_recorder.py
+++ b/knapweedlead/sidecar/_recorder.py
@@ -92,6 +92,10 @@
         """Add `amount` to the counter with this name and label."""
         self.count_by_name[name, label] += amount
 
+    def set_count(self, name: str, label: str, total: int) -> None:
+        """Set a counter that is kept elsewhere."""
+        self.count_by_name[name, label] = total
+
     def log(self, event: str, **fields: Any) -> None:
         """Write a line, unless `LINES_PER_SECOND` is reached for this event."""
         now = read_time_of_day()
--- a/knapweedlead/sidecar/_serving.py
+++ b/knapweedlead/sidecar/_serving.py
@@ -13,14 +13,18 @@
     fleet_state_frame,
 )
 
+_SHORT_PROBE_FIELDS = 3
+"""Fields of a probe with the sender's name but without its data centre; probes after
+the first one of a link have neither."""
+
 
 class AcceptedLink:
     """Passes the calls of a peer to the local guard; `Sender` of their tickets.
 
     Attributes
     ----------
-    peer_name : str
-        Name of the peer; empty until the peer has reported its demand.
+    peer_name, peer_data_centre : str
+        Name and data centre of the peer; empty until its first probe.
     """
 
     def __init__(self, host: LinkHost, connection: FrameConnection) -> None:
@@ -28,6 +32,7 @@
         self.connection = connection
         self.ticket_by_number: dict[int, Ticket] = {}
         self.peer_name = ""
+        self.peer_data_centre = ""
         self._probe_sent_at = 0.0
         self._probe_received_at = 0.0
 
@@ -43,6 +48,8 @@
         elif kind == FrameKind.PROBE:
             self._probe_sent_at = frame[1]
             self._probe_received_at = self.host.clock()
+            if len(frame) > _SHORT_PROBE_FIELDS:
+                self._identify(*frame[2:4])
             self.send_state()
         elif kind == FrameKind.FLEET_STATE_REQUEST:
             self.connection.send(fleet_state_frame(self.host.fleet.state, frame[1]))
@@ -52,14 +59,21 @@
             kind = FrameKind.TOKEN_GRANT.value
             self.connection.send([kind, account, lent, is_important, retry_after])
         elif kind == FrameKind.DEMAND_REPORT:
-            self.peer_name, part = decode_demand(frame)
+            sender, part = decode_demand(frame)
             exchange = self.host.demand_exchange
-            exchange.receive_report(self.peer_name, part, self.host.clock())
+            exchange.receive_report(sender, part, self.host.clock())
         elif kind == FrameKind.DEMAND_PEER_SUM:
             sender, part = decode_demand(frame)
             exchange = self.host.demand_exchange
             exchange.receive_peer_sum(sender, part, self.host.clock())
 
+    def _identify(self, name: str, data_centre: str) -> None:
+        """Record which daemon opened the link."""
+        self.peer_name = name
+        self.peer_data_centre = data_centre
+        is_remote = data_centre != self.host.fleet.local_member.data_centre
+        self.connection.traffic = self.host.traffic.by_scope(is_remote)
+
     def _handle_call(self, frame: list[Any]) -> None:
         now = self.host.clock()
         _, number, request_id, service, route, account, priority, *rest = frame
--- a/knapweedlead/sidecar/_sidecar.py
+++ b/knapweedlead/sidecar/_sidecar.py
@@ -4,6 +4,7 @@
 import math
 import random
 import traceback
+from collections import Counter
 
 from knapweedlead.mesh import (
     PLACEMENTS,
@@ -37,6 +38,7 @@
 from knapweedlead.sidecar._runner import ServerRunner
 from knapweedlead.sidecar._serving import LocalChannel
 from knapweedlead.sidecar._store_sync import StoreSync
+from knapweedlead.sidecar._traffic import LinkTraffic
 
 TICK_PERIOD = 0.02
 """Seconds between checks of deadlines and of queued calls."""
@@ -90,7 +92,7 @@
         self.caller_listener = CallerListener(self, settings.service)
         self.heartbeat_listener = HeartbeatListener(self)
         self.ready_listener = StatusListener(self._readiness)
-        self.metrics_listener = StatusListener(lambda: (200, self.recorder.render()))
+        self.metrics_listener = StatusListener(self._metrics)
         self.links = Links(self, settings.name, self._on_targets_change)
         self.local = LocalChannel(self)
         self.local_target = Target(
@@ -113,6 +115,8 @@
             self.recorder,
             rng,
         )
+        self.traffic = LinkTraffic()
+        self._announced: tuple[object, ...] = ()
         self.demand_exchange = DemandExchange(settings.name, settings.data_centre)
         self.load_tracker = LoadTracker(
             self.entry,
@@ -253,6 +257,7 @@
                 service_time_ms=round(guard.service_time * 1000, 1),
                 links=self.links.up_count,
                 unconfirmed_ms=int(unconfirmed_for * 1000),
+                link_bytes=_labelled(self.traffic.bytes_sent),
                 **self.recorder.totals("store.calls", "calls.refused"),
             )
 
@@ -277,6 +282,14 @@
         is_ready = self.entry.configuration is not None and not self.is_stopping
         return (200, b"ready\n") if is_ready else (503, b"not ready\n")
 
+    def _metrics(self) -> tuple[int, bytes]:
+        """Return the status and the body of the metrics page."""
+        for label, count in self.traffic.frames.items():
+            self.recorder.set_count("links.frames", label, count)
+        for label, count in self.traffic.bytes_sent.items():
+            self.recorder.set_count("links.bytes", label, count)
+        return 200, self.recorder.render()
+
     # Callers.
 
     def handle_call(self, exchange: int, call: Call) -> None:
@@ -329,8 +342,19 @@
         self.recorder.log("backend_server_left", instance=instance, is_known=is_known)
 
     def _on_guard_change(self) -> None:
-        self.local_target.apply_state(self.guard.state(self.clock()))
-        self.links.send_state_to_all()
+        """Announce the state of the backend server.
+
+        Peers in other data centres are told only whether it accepts calls, and get its
+        load with answers and with the replies to their probes.
+        """
+        state = self.guard.state(self.clock())
+        self.local_target.apply_state(state)
+        announced = state.instance, state.service, state.is_open, state.is_cold
+        if announced != self._announced:
+            self._announced = announced
+            self.links.send_state_to_all()
+        else:
+            self.links.send_state_to_data_centre(self.settings.data_centre)
 
     # Peers.
 
@@ -394,3 +418,8 @@
         repeat_share=settings.repeat_ratio * RETRY_SHARE_PER_HOP,
         repeat_cap=settings.repeat_extra * RETRY_SHARE_PER_HOP,
     )
+
+
+def _labelled(counts: Counter[str]) -> str:
+    """Return counts by label as one field of a log line."""
+    return " ".join(f"{label}:{count}" for label, count in sorted(counts.items()))
--- a/knapweedlead/sidecar/tests/test_metrics_page.py
+++ b/knapweedlead/sidecar/tests/test_metrics_page.py
@@ -14,7 +14,7 @@
 PACKAGE = Path(knapweedlead.sidecar.__file__).parent
 PAGE = PACKAGE.parents[1] / "docs" / "PLATFORM-METRICS.md"
 TEXT = PAGE.read_text("utf-8")
-COUNT = re.compile(r"\.count\(\s*\"([a-z_.]+)\"")
+COUNT = re.compile(r"\.(?:set_)?count\(\s*\"([a-z_.]+)\"")
 
 
 def test_counters_match_the_metrics_page():
