HTTP client: bounds on heads, late copies and unfinished answers together

Cause: only the whole answer had a limit (6 MB a connection), so that endless heads, interim answers or late copies were read up to it or until the deadline, and thirty endless bodies at once exceeded a daemon's 200 MB.

--- a/knapweedlead/http/_run.py
+++ b/knapweedlead/http/_run.py
@@ -13,6 +13,10 @@
 
 MAX_ANSWER_BYTES = 6 * 1024 * 1024
 """Size limit of an answer with its headers; must fit into a message on a link."""
+MAX_HEAD_BYTES = 64 * 1024
+"""Size limit of all bytes up to the end of the headers, with interim responses."""
+MAX_DISCARDED_ANSWERS = 8
+"""Answers with another request ID that are discarded during one run."""
 
 _FIRST_FINAL_STATUS = 200
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
@@ -57,11 +61,13 @@
         self.transport: asyncio.Transport = None  # type: ignore[assignment]
         self.parser = httptools.HttpResponseParser(self)
         self.is_closed = False
+        self._buffered = 0
         self.idle_since = 0.0
         self.idle_timeout = 0.0
         self.run = 0
         self._request_id = ""
         self._is_head = False
+        self._discarded = 0
         self._detail = "connection lost"
         self._timer: asyncio.TimerHandle | None = None
         self._reset()
@@ -103,6 +109,7 @@
         self.run = run
         self._request_id = request_id
         self._is_head = is_head
+        self._discarded = 0
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(timeout, self.abort, "timeout")
         self.transport.write(data)
@@ -111,6 +118,7 @@
         """Close the connection, which fails its run."""
         self.is_closed = True
         self._detail = detail
+        self._release()
         self.transport.abort()
 
     def data_received(self, data: bytes) -> None:
@@ -131,6 +139,12 @@
             self._has_extra_bytes = True
         if self._is_complete:
             self._finish_run()
+        elif not self._status and self._size > MAX_HEAD_BYTES:
+            self.abort("answer head too large")
+        elif self._discarded > MAX_DISCARDED_ANSWERS:
+            self.abort("too many answers to other requests")
+        elif self.client.buffered_bytes > self.client.max_buffered_bytes:
+            self.abort("answers too large in total")
 
     def on_message_begin(self) -> None:
         """Record whether another message follows the complete answer."""
@@ -163,6 +177,8 @@
         """Add a part of the body."""
         if not self._is_complete:
             self._body.append(body)
+            self._buffered += len(body)
+            self.client.buffered_bytes += len(body)
 
     def on_message_complete(self) -> None:
         """Mark the final answer as complete.
@@ -171,6 +187,8 @@
         """
         if self._status and self._answers_other_request():
             self.client.discarded_answers += 1
+            self._discarded += 1
+            self._release()
             self._reset()
         elif self._status:
             self._is_complete = True
@@ -201,6 +219,7 @@
         self._cancel_timer()
         self.idle_timeout = _keep_alive_timeout(self._headers)
         answer = HttpAnswer(self._status, self._headers, b"".join(self._body))
+        self._release()
         if self._has_extra_bytes or not self._keeps_alive:
             self.abort("closed")
         self.idle_since = asyncio.get_running_loop().time()
@@ -210,9 +229,16 @@
         """Fail the run in progress, if any."""
         self.is_closed = True
         self._cancel_timer()
+        self._release()
         run, self.run = self.run, 0
         self.client.connection_closed(self, run, self._detail)
 
+    def _release(self) -> None:
+        """Give up the bytes of the answer."""
+        self._body = []
+        self.client.release_bytes(self._buffered)
+        self._buffered = 0
+
     def _cancel_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
--- /dev/null
+++ b/knapweedlead/http/tests/test_endless_answers.py
@@ -0,0 +1,193 @@
+"""Servers that send bytes without end, or answers that nobody waits for.
+
+The client's memory and time stay bounded, the run fails truthfully, and the next run
+gets its own answer on a fresh connection.
+"""
+
+import asyncio
+import itertools
+
+import pytest
+
+from knapweedlead.http import BackendServerClient
+from knapweedlead.http._client import MAX_BUFFERED_BYTES
+from knapweedlead.http._run import (
+    MAX_ANSWER_BYTES,
+    MAX_DISCARDED_ANSWERS,
+    MAX_HEAD_BYTES,
+    RunProtocol,
+)
+from knapweedlead.http.tests.fakes import FakeTransport
+from knapweedlead.transport.tests.links import wait_until
+from standins.fleet import free_address
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"transfer-encoding: chunked\r\n\r\n"
+ENDLESS_HEADS = {
+    "status line": (b"HTTP/1.1 200 ", b"x" * 500),
+    "header name": (HEAD, b"x" * 500),
+    "header value": (HEAD + b"a: ", b"x" * 500),
+    "headers": (HEAD, b"a: b\r\n" * 80),
+    "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 20),
+}
+ENDLESS_BODIES = {
+    "body without a length": (HEAD + b"\r\n", b"x" * 65536),
+    "chunks": (CHUNKED, b"10000\r\n" + b"x" * 65536 + b"\r\n"),
+    "chunk extension": (CHUNKED + b"5;", b"x" * 65536),
+    "trailers": (CHUNKED + b"0\r\n", b"a: b\r\n" * 10000),
+}
+NO_ANSWERS = {
+    "zeros": b"\0" * 4096,
+    "text": b"not an answer at all\r\n" * 100,
+    "line ends": b"\r\n" * 4096,
+}
+
+
+class Run:
+    """One run on a protocol whose input the test gives."""
+
+    def __init__(self, client=None, request_id=""):
+        self.outcomes = []
+        self.client = client or BackendServerClient(
+            "-",
+            8,
+            lambda run, answer: self.outcomes.append(answer),
+            lambda run, was_sent, detail: self.outcomes.append(was_sent),
+            request_id_header="id",
+            accepts_close_delimited=True,
+        )
+        self.protocol = RunProtocol(self.client)
+        self.client._connection_count += 1
+        self.protocol.connection_made(FakeTransport())
+        self.protocol.start(1, False, b"", 5.0, request_id)
+
+    def feed(self, first, rest, limit):
+        """Feed `first` and then `rest` again and again; return the bytes accepted."""
+        accepted = 0
+        for data in itertools.chain((first,), itertools.repeat(rest)):
+            if self.protocol.is_closed:
+                self.protocol.connection_lost(None)
+                return accepted
+            assert accepted <= limit, "the connection is still open"
+            if data:
+                self.protocol.data_received(data)
+            accepted += len(data)
+
+
+@pytest.mark.parametrize("name", sorted(ENDLESS_HEADS))
+async def test_endless_head_is_cut_after_a_few_kilobytes(name):
+    run = Run()
+    run.feed(*ENDLESS_HEADS[name], limit=2 * MAX_HEAD_BYTES)
+    assert run.outcomes == [True]
+
+
+@pytest.mark.parametrize("size", [1, 7, 100])
+@pytest.mark.parametrize("name", sorted(ENDLESS_HEADS))
+async def test_endless_head_is_cut_however_it_is_split(name, size):
+    run = Run()
+    first, rest = ENDLESS_HEADS[name]
+    data = first + rest * (2 * MAX_HEAD_BYTES // len(rest))
+    for start in range(0, len(data), size):
+        if run.protocol.is_closed:
+            break
+        run.protocol.data_received(data[start : start + size])
+    assert run.protocol.is_closed
+
+
+@pytest.mark.parametrize("name", sorted(ENDLESS_BODIES))
+async def test_endless_body_is_cut_at_the_limit_of_an_answer(name):
+    run = Run()
+    run.feed(*ENDLESS_BODIES[name], limit=MAX_ANSWER_BYTES + (1 << 20))
+    assert run.outcomes == [True]
+    assert run.client.buffered_bytes == 0
+
+
+@pytest.mark.parametrize("name", sorted(NO_ANSWERS))
+async def test_bytes_that_are_no_answer_close_the_connection(name):
+    run = Run()
+    run.feed(b"", NO_ANSWERS[name], limit=2 * MAX_HEAD_BYTES)
+    assert run.outcomes == [True]
+
+
+async def test_late_copies_without_end_are_cut():
+    run = Run(request_id="mine")
+    copy = HEAD + b"id: other\r\ncontent-length: 2\r\n\r\nno"
+    run.feed(b"", copy, limit=len(copy) * (MAX_DISCARDED_ANSWERS + 2))
+    assert run.outcomes == [True]
+
+
+async def test_answer_after_a_late_copy_is_its_own_at_every_split():
+    copy = HEAD + b"id: other\r\ncontent-length: 2\r\n\r\nno"
+    own = HEAD + b"id: mine\r\ncontent-length: 3\r\n\r\nyes"
+    data = copy + own
+    for split in range(1, len(data)):
+        run = Run(request_id="mine")
+        run.protocol.data_received(data[:split])
+        if split < len(data):
+            run.protocol.data_received(data[split:])
+        (answer,) = run.outcomes
+        assert answer.body == b"yes"
+
+
+async def test_many_endless_bodies_share_one_limit():
+    first = Run()
+    runs = [first, *(Run(first.client) for _ in range(9))]
+    for run in runs:
+        run.protocol.data_received(HEAD + b"\r\n")
+    block = b"x" * (1 << 20)
+    for _ in range(MAX_ANSWER_BYTES // len(block) - 1):
+        for run in runs:
+            if not run.protocol.is_closed:
+                run.protocol.data_received(block)
+            assert first.client.buffered_bytes <= MAX_BUFFERED_BYTES + len(block)
+    assert any(run.protocol.is_closed for run in runs)
+    for run in runs:
+        run.protocol.connection_lost(None)
+    assert first.client.buffered_bytes == 0
+
+
+@pytest.mark.parametrize(
+    "name", ["body without a length", "headers", "chunks", "header value"]
+)
+async def test_next_run_gets_its_answer_on_a_fresh_connection(name):
+    first, rest = (ENDLESS_HEADS | ENDLESS_BODIES)[name]
+    connections = 0
+    unfinished = 0
+
+    async def serve(reader, writer):
+        nonlocal connections, unfinished
+        connections += 1
+        is_endless = connections == 1
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(first if is_endless else HEAD + b"content-length: 2\r\n\r\nok")
+            unfinished += is_endless
+            while is_endless:
+                writer.write(rest)
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        unfinished -= is_endless
+        writer.close()
+
+    address = free_address()
+    host, _, port = address.rpartition(":")
+    server = await asyncio.start_server(serve, host, int(port))
+    answers, failures = {}, {}
+    client = BackendServerClient(
+        address,
+        4,
+        answers.__setitem__,
+        lambda run, was_sent, detail: failures.update({run: was_sent}),
+        accepts_close_delimited=True,
+    )
+    client.run(1, "GET", "/", {}, b"", 20.0)
+    await wait_until(lambda: 1 in failures)
+    await wait_until(lambda: not unfinished)
+    client.run(2, "GET", "/", {}, b"", 5.0)
+    await wait_until(lambda: 2 in answers)
+    assert failures == {1: True}
+    assert answers[2].body == b"ok"
+    client.close()
+    server.close()
+    await asyncio.sleep(0.01)
