Links of our own interface: a message sent while the peer closes is not lost

Cause: can_write stayed true after the peer's close frame, until the connection was lost. A message sent meanwhile raised InvalidState in the shell, was counted as events_failed and reported to nobody (seen since beside the order that ended 502 in the rolling replacement). Now it is queued, and sent on the next connection or reported as unsent. Test failed before with InvalidState. Failed events are logged with their traceback.

--- a/knapweedlead/telemetry/_logs.py
+++ b/knapweedlead/telemetry/_logs.py
@@ -13,6 +13,7 @@
         processors=[
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True, key="time"),
+            structlog.processors.format_exc_info,
             structlog.processors.LogfmtRenderer(
                 key_order=["time", "level", "event"], bool_as_flag=False
             ),
--- a/knapweedlead/transport/_websocket.py
+++ b/knapweedlead/transport/_websocket.py
@@ -31,9 +31,6 @@
 
     Attributes
     ----------
-    can_write : bool
-        Whether messages should be sent; false while the write buffer is full, and
-        after closing has begun.
     failure : str
         Why the connection ended; empty while it is in use.
     has_invalid_input : bool
@@ -43,7 +40,7 @@
     def __init__(self, sans_io: ClientProtocol | ServerProtocol) -> None:
         self.sans_io = sans_io
         self.transport: asyncio.Transport = None  # type: ignore[assignment]
-        self.can_write = True
+        self._is_writable = True
         self.failure = ""
         self.has_invalid_input = False
         self._abort_timer: asyncio.TimerHandle | None = None
@@ -53,6 +50,15 @@
         """Whether messages may still be sent."""
         return self.sans_io.state is State.OPEN and not self.transport.is_closing()
 
+    @property
+    def can_write(self) -> bool:
+        """Whether messages should be sent.
+
+        False while the write buffer is full, and once either side has begun to close:
+        a close frame may precede the message whose handling sends another one.
+        """
+        return self._is_writable and self.is_open
+
     def on_open(self) -> None:
         """Handle the end of the websocket handshake."""
 
@@ -86,14 +92,14 @@
         if self.sans_io.state is not State.OPEN:
             self.abort(reason)
             return
-        self.can_write = False
+        self._is_writable = False
         self.sans_io.send_close(code, reason)
         self._flush()
         self._schedule_abort()
 
     def abort(self, detail: str) -> None:
         """Close the connection without a closing handshake."""
-        self.can_write = False
+        self._is_writable = False
         self.failure = self.failure or detail
         self.transport.abort()
 
@@ -114,12 +120,12 @@
 
     def pause_writing(self) -> None:
         """Suspend writing until the write buffer has drained."""
-        self.can_write = False
+        self._is_writable = False
 
     def resume_writing(self) -> None:
         """Resume writing unless the connection is closing."""
         if self.is_open:
-            self.can_write = True
+            self._is_writable = True
             self.on_writable()
 
     def eof_received(self) -> None:
@@ -158,7 +164,7 @@
         if frame.opcode is Opcode.BINARY and frame.fin:
             self.on_message(bytes(frame.data))
         elif frame.opcode is Opcode.CLOSE:
-            self.can_write = False
+            self._is_writable = False
             self.failure = self.failure or f"closed by peer: {self.sans_io.close_rcvd}"
         elif frame.opcode not in (Opcode.PING, Opcode.PONG):
             self.reject(CloseCode.UNSUPPORTED_DATA, "expected whole binary messages")
@@ -174,7 +180,7 @@
         error = sans_io.parser_exc or sans_io.handshake_exc
         if error is not None:
             self.has_invalid_input = True
-            self.can_write = False
+            self._is_writable = False
             kind = "handshake" if isinstance(error, InvalidHandshake) else "frame"
             self.failure = (
                 self.failure or f"bad {kind}: {type(error).__name__}: {error}"
--- a/knapweedlead/transport/tests/test_links.py
+++ b/knapweedlead/transport/tests/test_links.py
@@ -217,3 +217,18 @@
         await wait_until(lambda: not a.table._unauthenticated)
         b.table.send(a.address, make_cancel(1))
         await wait_until(lambda: a.messages)
+
+
+async def test_message_sent_while_the_peer_closes_is_reported_as_unsent():
+    async with open_endpoints(2) as (a, b):
+        a.table.send(b.address, make_cancel(1))
+        await wait_until(lambda: b.messages)
+        connection = a.table._link_by_peer[b.address].current
+        peer = b.table._link_by_peer[a.address].current
+        # The close frame has been received, and the connection is not yet lost.
+        peer.sans_io.send_close(1000, "stopped")
+        connection.sans_io.receive_data(b"".join(peer.sans_io.data_to_send()))
+        a.table.send(b.address, make_cancel(2))
+        connection.abort("closed")
+        await wait_until(lambda: a.unsent_messages or len(b.messages) > 1)
+        assert len(a.unsent_messages) + len(b.messages) - 1 == 1
