Store client: an answer of an unexpected form, or an unexpected error, stops no loop

Cause: an answer of the store that was valid JSON of another form raised in the task that renews the lease or in the one that watches, which ended for good: the daemon left the fleet. Now such an answer is an error with the step and the store's address, and a loop that raises is logged with its place, counted and started again after a backoff. Tests inject both.

--- a/knapweedlead/platform/_store.py
+++ b/knapweedlead/platform/_store.py
@@ -4,9 +4,10 @@
 import itertools
 import json
 from collections.abc import Callable
-from typing import Any
+from typing import Any, TypeVar
 from urllib.parse import urlencode
 
+import attrs
 from result import Err, Ok, Result
 
 from knapweedlead.errors import StoreError, StoreFault
@@ -32,6 +33,16 @@
 _GONE = 410
 
 
+_Decoded = TypeVar("_Decoded")
+
+
+@attrs.frozen
+class _Page:
+    entries: list[dict[str, Any]]
+    revision: int
+    next_after: str
+
+
 class PlatformStore:
     """Typed calls to the store, each reported with its purpose and outcome.
 
@@ -74,14 +85,17 @@
             )
             if isinstance(result, Err):
                 return result
-            page = result.ok_value
-            entries += page["items"]
+            decoded = self._interpret("store.kv-range", result.ok_value, _decode_page)
+            if isinstance(decoded, Err):
+                return decoded
+            page = decoded.ok_value
+            entries += page.entries
             # The pages do not form one snapshot, so the state gets the revision of the
             # first page: a watch from that revision misses no change.
-            revision = revision or page["at"]
-            if not page["hasMore"] or not page["items"]:
+            revision = revision or page.revision
+            if not page.next_after:
                 return Ok(apply_change(FleetState(), decode_changes(entries, revision)))
-            after = page["items"][-1]["key"]
+            after = page.next_after
 
     async def watch_state(
         self, after: int, wait: float
@@ -95,8 +109,11 @@
         )
         if isinstance(result, Err):
             return result
-        page = result.ok_value
-        return Ok(decode_changes(page["events"], page["at"]))
+        return self._interpret(
+            "store.kv-watch",
+            result.ok_value,
+            lambda page: decode_changes(page["events"], int(page["at"])),
+        )
 
     async def grant_lease(self, duration: float) -> Result[LeaseGrant, StoreError]:
         """Create a lease of `duration` seconds."""
@@ -106,8 +123,13 @@
         )
         if isinstance(result, Err):
             return result
-        answer = result.ok_value
-        return Ok(LeaseGrant(answer["lease"], answer["ttlMs"] / _MS_PER_S))
+        return self._interpret(
+            "store.kv-lease",
+            result.ok_value,
+            lambda answer: LeaseGrant(
+                int(answer["lease"]), float(answer["ttlMs"]) / _MS_PER_S
+            ),
+        )
 
     async def renew_lease(self, lease: int) -> Result[None, StoreError]:
         """Renew a lease; the fault for an expired lease is ``CONFLICT``."""
@@ -167,6 +189,17 @@
         self.on_call(purpose, outcome, loop.time() - started_at)
         return result
 
+    def _interpret(
+        self, step: str, answer: Any, decode: Callable[[Any], _Decoded]
+    ) -> Result[_Decoded, StoreError]:
+        """Return the decoded answer; an error if it has another form than expected."""
+        try:
+            return Ok(decode(answer))
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            detail = f"bad answer: {type(error).__name__}: {error}"
+            fault = StoreFault.UNKNOWN_OUTCOME
+            return Err(StoreError(step, self.address, detail, fault))
+
     def _on_answer(self, run: int, answer: HttpAnswer) -> None:
         self._resolve(run, answer)
 
@@ -194,6 +227,13 @@
         return Err(StoreError(step, self.address, detail, fault))
 
 
+def _decode_page(page: dict[str, Any]) -> _Page:
+    entries = list(page["items"])
+    has_more = bool(page["hasMore"]) and bool(entries)
+    next_after = str(entries[-1]["key"]) if has_more else ""
+    return _Page(entries, int(page["at"]), next_after)
+
+
 _FAULT_BY_STATUS = {
     _NOT_FOUND: StoreFault.CONFLICT,
     _CONFLICT: StoreFault.CONFLICT,
--- a/knapweedlead/platform/tests/standin_store.py
+++ b/knapweedlead/platform/tests/standin_store.py
@@ -38,6 +38,7 @@
 
     def __init__(self):
         self.fault = ""
+        self.malformed_answer = b"[]"
         self.calls = []
         self.revision = 10
         self.oldest = 0
@@ -115,6 +116,9 @@
             status = 503 if self.fault == "busy" else 429
             self.server.reply(request.exchange, status, {}, b"")
             return
+        if self.fault == "malformed":
+            self.server.reply(request.exchange, 200, {}, self.malformed_answer)
+            return
         self._expire()
         status, document = await self._handle(request)
         if self.fault == "lost" and request.method != "GET":
--- a/knapweedlead/sidecar/_fleet_tracker.py
+++ b/knapweedlead/sidecar/_fleet_tracker.py
@@ -276,6 +276,10 @@
             event = "store_reached" if is_reached else "store_lost"
             self.recorder.log(event, step=step, detail=detail)
 
+    def record_fault(self, step: str, error: BaseException) -> None:
+        """Count and log an unexpected exception."""
+        self.recorder.fault(step, error)
+
     def record_registration(self, is_registered: bool) -> None:
         """Log whether the daemon is registered in the store."""
         self.recorder.log("registered", is_registered=is_registered)
--- a/knapweedlead/sidecar/_recorder.py
+++ b/knapweedlead/sidecar/_recorder.py
@@ -2,6 +2,7 @@
 
 import os
 import sys
+import traceback
 import zlib
 from collections import Counter
 from typing import Any
@@ -26,6 +27,8 @@
 """Maximum for each kind of event; further lines are dropped and counted."""
 MAX_BUFFERED_BYTES = 256 * 1024
 """Bytes buffered while the reader of the standard output is slow."""
+TRACEBACK_FRAMES = 4
+"""Innermost functions of a traceback that are logged."""
 LATENCY_BOUNDS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
 """Upper bounds of the histogram's buckets, in seconds."""
 
@@ -124,6 +127,13 @@
         self.count("bad_input", source)
         self.log("bad_input", door=source, detail=detail)
 
+    def fault(self, step: str, error: BaseException) -> None:
+        """Record an unexpected exception and the functions that it passed through."""
+        frames = traceback.extract_tb(error.__traceback__)[-TRACEBACK_FRAMES:]
+        where = ",".join(f"{frame.name}:{frame.lineno}" for frame in frames)
+        self.count("faults", step)
+        self.log("fault", step=step, error=repr(error), where=where)
+
     # Calls at the entry.
 
     def sent(self, call: EntryCall, now: float) -> None:
--- a/knapweedlead/sidecar/_sidecar.py
+++ b/knapweedlead/sidecar/_sidecar.py
@@ -3,7 +3,6 @@
 import asyncio
 import math
 import random
-import traceback
 from collections import Counter
 
 from knapweedlead.mesh import (
@@ -62,10 +61,6 @@
 """Seconds by which the process exits before the platform would kill it."""
 
 
-TRACEBACK_FRAMES = 4
-"""Innermost functions of a traceback that are logged."""
-
-
 class Sidecar:
     """One daemon on one event loop.
 
@@ -273,10 +268,7 @@
 
     def record_fault(self, step: str, error: BaseException) -> None:
         """Count and log an exception raised in a step of the daemon."""
-        self.recorder.count("faults", step)
-        frames = traceback.extract_tb(error.__traceback__)
-        where = ",".join(f"{f.name}:{f.lineno}" for f in frames[-TRACEBACK_FRAMES:])
-        self.recorder.log("fault", step=step, error=repr(error), where=where)
+        self.recorder.fault(step, error)
 
     def _readiness(self) -> tuple[int, bytes]:
         is_ready = self.entry.configuration is not None and not self.is_stopping
--- a/knapweedlead/sidecar/_store_sync.py
+++ b/knapweedlead/sidecar/_store_sync.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 from result import Err
@@ -67,6 +67,9 @@
     def record_registration(self, is_registered: bool) -> None:
         """Record whether the daemon is registered in the store."""
 
+    def record_fault(self, step: str, error: BaseException) -> None:
+        """Count and log an unexpected exception."""
+
 
 class StoreSync:
     """Keeps the daemon registered and follows the changes in the store.
@@ -94,8 +97,11 @@
 
     def start(self) -> None:
         """Start the registration and the watch as background tasks."""
-        for coroutine in (self._keep_registered(), self._follow_store()):
-            self._tasks.append(asyncio.ensure_future(coroutine))
+        for step, loop in (
+            ("register", self._keep_registered),
+            ("watch", self._follow_store),
+        ):
+            self._tasks.append(asyncio.ensure_future(self._supervise(step, loop)))
 
     async def stop(self) -> None:
         """Stop both tasks and revoke the lease, which deregisters the daemon."""
@@ -104,6 +110,16 @@
         if self._lease:
             await self.store.revoke_lease(self._lease)
 
+    async def _supervise(self, step: str, loop: Callable[[], Awaitable[None]]) -> None:
+        """Run a loop without end; start it again after an unexpected exception."""
+        while True:
+            try:
+                await loop()
+            except Exception as error:
+                self._failures_by_step[step] += 1
+                self.host.record_fault(f"store.{step}", error)
+                await asyncio.sleep(self._retry_delay(step))
+
     async def _keep_registered(self) -> None:
         while True:
             is_registered = await (self._renew() if self._lease else self._register())
