Planned stop: calls that arrive while the daemon deregisters are answered

Cause: after the last call had ended, the daemon stopped listening, deregistered (up to 0.6 s) and closed its links at once. A call that arrived on a kept connection in between was accepted, sent to a peer and ended 502 when the link closed under it. Now the links stay until it is answered, within the time before the kill. Test failed before with 502.

--- a/knapweedlead/platform/tests/test_whole_path.py
+++ b/knapweedlead/platform/tests/test_whole_path.py
@@ -4,6 +4,7 @@
 import json
 
 from knapweedlead.platform.tests.fleets import CONFIGURATION, Fleet
+from knapweedlead.platform.tests.standin_server import request
 
 
 def with_version(version, **changes):
@@ -180,6 +181,37 @@
         await stop
 
 
+async def test_call_on_a_kept_connection_during_the_last_steps_of_a_stop_is_answered():
+    async with Fleet() as fleet:
+        for server in fleet.servers:
+            server.service_time = 0.3
+        sidecar = fleet.sidecars[0]
+        deregister = sidecar.sync.stop
+        has_stopped_waiting = asyncio.Event()
+
+        async def deregister_slowly():
+            has_stopped_waiting.set()
+            await asyncio.sleep(0.2)
+            await deregister()
+
+        sidecar.sync.stop = deregister_slowly
+        host, _, port = sidecar.settings.caller_address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        stop = asyncio.ensure_future(sidecar.stop())
+        await has_stopped_waiting.wait()
+        headers = {
+            "host": "h.example",
+            "knapweedlead-request-id": "r1",
+            "knapweedlead-deadline-ms": "2000",
+            "authorization": "Token key-crew",
+        }
+        writer.write(request("POST", "/file/1", headers))
+        answer = await asyncio.wait_for(reader.read(), 4.0)
+        assert answer.startswith(b"HTTP/1.1 200")
+        writer.close()
+        await stop
+
+
 async def test_only_a_few_daemons_watch_the_store():
     async with Fleet() as fleet:
         await asyncio.sleep(2.0)
--- a/knapweedlead/sidecar/_sidecar.py
+++ b/knapweedlead/sidecar/_sidecar.py
@@ -58,7 +58,10 @@
 """Seconds for which a stopping daemon still accepts calls: two failed readiness
 probes, one second apart, and some time for the last probe to finish."""
 EXIT_MARGIN = 1.2
-"""Seconds by which the process exits before the platform would kill it."""
+"""Seconds before the platform would kill the process at which it stops waiting for
+calls, and deregisters and closes its connections instead."""
+DRAIN_SHARE = 0.75
+"""Fraction of `EXIT_MARGIN` for which calls are awaited that arrived during this."""
 
 
 class Sidecar:
@@ -189,6 +192,7 @@
         """Finish calls in flight within the shutdown time, then close everything."""
         stop_started_at = self.clock()
         end = stop_started_at + self.settings.shutdown_time - EXIT_MARGIN
+        last_end = end + DRAIN_SHARE * EXIT_MARGIN
         self.recorder.log("stopping", calls=len(self.entry.call_by_number))
         self.is_stopping = True
         self.caller_listener.server.announce_close()
@@ -205,6 +209,9 @@
         except TimeoutError:
             self.recorder.log("store_lost", step="deregister")
         await self.caller_listener.server.stop()
+        # Calls that arrived on kept connections meanwhile still need the links.
+        while self.clock() < last_end and not self._has_answered_all():
+            await asyncio.sleep(TICK_PERIOD)
         self.links.close()
         for task in self._tasks:
             task.cancel()
@@ -213,6 +220,11 @@
         )
         self.recorder.writer.flush()
 
+    def _has_answered_all(self) -> bool:
+        """Return whether no call is in flight and no answer remains to be written."""
+        is_idle = self.entry.is_idle and self.guard.is_idle
+        return is_idle and not self.caller_listener.server.open_connections
+
     async def _run_ticks(self) -> None:
         while True:
             now = self.clock()
