--- a/knapweedlead/mesh/_demand_exchange.py
+++ b/knapweedlead/mesh/_demand_exchange.py
@@ -7,13 +7,13 @@
 """
 
 import math
-import zlib
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
 
 import attrs
 
 from knapweedlead.mesh._demand import RouteDemand
+from knapweedlead.mesh._relays import hash_order
 
 BUSY_PERIOD = 0.25
 """Seconds between reports while some service is near its capacity."""
@@ -150,8 +150,9 @@
             for service, slots in self.fleet_sum.demand_by_service.items()
         }
 
-    def estimates(self, now: float) -> dict[str, RouteDemand]:
-        """Return the fleet's estimates by route; the last known ones if outdated."""
+    @property
+    def estimates(self) -> dict[str, RouteDemand]:
+        """The fleet's estimates by route; the last known ones if outdated."""
         return self.fleet_sum.estimate_by_route
 
     def receive_report(self, name: str, part: DemandSum, now: float) -> None:
@@ -233,7 +234,7 @@
             names.append(self.name)
         skipped = self._skipped_until_by_name
         willing = [name for name in names if skipped.get(name, -math.inf) <= now]
-        return min(willing or names, key=_sort_key)
+        return min(willing or names, key=hash_order)
 
     def _choose_own(self, data_centre_by_name: Mapping[str, str], now: float) -> str:
         """Return this data centre's aggregator; pass over one that does not reply."""
@@ -285,7 +286,3 @@
 
 def _parts(received: Mapping[str, _Received]) -> list[DemandSum]:
     return [entry.part for entry in received.values()]
-
-
-def _sort_key(name: str) -> tuple[int, str]:
-    return zlib.crc32(name.encode()), name
--- a/knapweedlead/mesh/_relays.py
+++ b/knapweedlead/mesh/_relays.py
@@ -52,8 +52,8 @@
             Seconds since the configuration was last confirmed.
         now : float
         """
-        own_key = _sort_key(self.local_name)
-        preceding = [peer for peer in peers if _sort_key(peer.name) < own_key]
+        own_key = hash_order(self.local_name)
+        preceding = [peer for peer in peers if hash_order(peer.name) < own_key]
         if sum(peer.is_watching for peer in preceding) >= RELAY_COUNT:
             self._deficit_since = None
             return unconfirmed_for > MAX_UNCONFIRMED
@@ -64,5 +64,6 @@
         return now - self._deficit_since > DEFICIT_GRACE
 
 
-def _sort_key(name: str) -> tuple[int, str]:
+def hash_order(name: str) -> tuple[int, str]:
+    """Return a sort key that is unrelated to the location of a daemon."""
     return zlib.crc32(name.encode()), name
--- a/knapweedlead/mesh/tests/test_demand_exchange.py
+++ b/knapweedlead/mesh/tests/test_demand_exchange.py
@@ -88,7 +88,7 @@
     fleet.run(4.0)
     for exchange in fleet.exchanges.values():
         assert exchange.demand_of_others(fleet.now) == pytest.approx({"deep": 14.0})
-        estimate = exchange.estimates(fleet.now)["read"]
+        estimate = exchange.estimates["read"]
         assert estimate.slot_time == pytest.approx(0.1)
         assert estimate.ratio_by_child == pytest.approx({"check": 2.0})
 
--- a/knapweedlead/sidecar/_load_tracker.py
+++ b/knapweedlead/sidecar/_load_tracker.py
@@ -76,7 +76,7 @@
         configuration = self.entry.configuration
         if configuration is None:
             return
-        estimates = self.exchange.estimates(now)
+        estimates = self.exchange.estimates
         known = [configuration.route_by_name.get(name) for name in estimates]
         slot_times = {
             route.name: slot_time_by_service(route, configuration, estimates)
