--- a/knapweedlead/sidecar/_serving.py
+++ b/knapweedlead/sidecar/_serving.py
@@ -1,6 +1,7 @@
 """Channels through which peers and the local entry pass calls to the local guard."""
 
 import asyncio
+import math
 from typing import Any
 
 from knapweedlead.mesh import EntryCall, Failure, ServerAnswer, Target, Ticket
@@ -13,6 +14,9 @@
     fleet_state_frame,
 )
 
+STATE_PERIOD = 1.5
+"""Seconds after which a state follows an answer. A link that carries answers is not
+probed, and an answer does not tell how fast the backend server is."""
 _SHORT_PROBE_FIELDS = 3
 """Fields of a probe with the sender's name but without its data centre; probes after
 the first one of a link have neither."""
@@ -33,6 +37,7 @@
         self.ticket_by_number: dict[int, Ticket] = {}
         self.peer_name = ""
         self.peer_data_centre = ""
+        self._state_sent_at = -math.inf
         self._probe_sent_at = 0.0
         self._probe_received_at = 0.0
 
@@ -97,6 +102,7 @@
 
     def send_state(self) -> None:
         """Send the state of this daemon to the peer."""
+        self._state_sent_at = self.host.clock()
         state = self.host.fleet.peer_state(self._probe_sent_at, self._probe_received_at)
         self.connection.send(state.to_frame())
 
@@ -104,7 +110,8 @@
         """Send an answer to the peer."""
         if self.ticket_by_number.pop(ticket.number, None) is None:
             return
-        times = ticket.times(self.host.clock())
+        now = self.host.clock()
+        times = ticket.times(now)
         self.connection.send(
             [
                 FrameKind.ANSWER.value,
@@ -117,6 +124,8 @@
                 times.ran,
             ]
         )
+        if now - self._state_sent_at >= STATE_PERIOD:
+            self.send_state()
 
     def failed(self, ticket: Ticket, failure: Failure) -> None:
         """Send a failure to the peer."""
--- a/knapweedlead/sidecar/tests/test_control_traffic.py
+++ b/knapweedlead/sidecar/tests/test_control_traffic.py
@@ -11,10 +11,13 @@
     FleetState,
     Member,
     RouteDemand,
+    ServerAnswer,
     ServerState,
 )
-from knapweedlead.mesh.tests.harness import make_report
+from knapweedlead.mesh.tests.harness import GuardHarness, make_report
 from knapweedlead.platform.tests.fleets import Fleet
+from knapweedlead.sidecar._frames import FrameConnection
+from knapweedlead.sidecar._serving import AcceptedLink
 from knapweedlead.sidecar._traffic import LinkTraffic
 from knapweedlead.sidecar._wire import (
     FrameKind,
@@ -100,6 +103,23 @@
         assert (await fleet.call(0, "GET", "/read/1")).status == 200
 
 
+async def test_peer_that_only_receives_answers_learns_the_speed_of_the_server():
+    sidecar, _ = make_sidecar()
+    now = 100.0
+    sidecar.clock = lambda: now
+    kinds = []
+    connection = FrameConnection(lambda *_: None, lambda *_: None)
+    connection.send = lambda frame: kinds.append(frame[0])
+    link = AcceptedLink(sidecar, connection)
+    for number in range(60):
+        ticket = GuardHarness().ticket(now, number=number)
+        link.ticket_by_number[number] = ticket
+        link.answered(ticket, ServerAnswer(200, {}, b""))
+        now += 0.1
+    assert kinds.count(FrameKind.ANSWER) == 60
+    assert 4 <= kinds.count(FrameKind.STATE) <= 5
+
+
 def test_traffic_is_counted_by_purpose_and_distance():
     traffic = LinkTraffic()
     traffic.by_scope(True)(FrameKind.CALL.value, 100)
