--- a/knapweedlead/mesh/__init__.py
+++ b/knapweedlead/mesh/__init__.py
@@ -44,6 +44,7 @@
 from knapweedlead.mesh._reports import BackendServer, ServerReport
 from knapweedlead.mesh._retry_budget import RetryBudget
 from knapweedlead.mesh._roster import Roster
+from knapweedlead.mesh._server_notices import ServerNotice
 from knapweedlead.mesh._settings import MeshSettings
 from knapweedlead.mesh._shedding import ServiceLoad, Shedder
 from knapweedlead.mesh._store import LeaseGrant, StorePurpose
@@ -75,6 +76,7 @@
     "RequestLimits",
     "Route",
     "ServerAnswer",
+    "ServerNotice",
     "ServerReport",
     "ServerState",
     "Service",
--- a/knapweedlead/mesh/_cold_start_limiter.py
+++ b/knapweedlead/mesh/_cold_start_limiter.py
@@ -38,6 +38,10 @@
         while started_at[0] <= now - WINDOW:
             started_at.popleft()
 
+    def started_within(self, seconds: float, now: float) -> int:
+        """Return the number of calls sent in the last `seconds`, at most `WINDOW`."""
+        return sum(now - at < seconds for at in self._started_at)
+
     def has_capacity(self, rate: float, now: float) -> bool:
         """Return whether one more call is allowed at a rate in calls per second."""
         started_at = self._started_at
--- a/knapweedlead/mesh/_guard.py
+++ b/knapweedlead/mesh/_guard.py
@@ -10,6 +10,7 @@
 from knapweedlead.mesh._demand import DemandModel
 from knapweedlead.mesh._reports import ServerReport
 from knapweedlead.mesh._server_monitor import ServerMonitor
+from knapweedlead.mesh._server_notices import ServerNotice
 from knapweedlead.mesh._tickets import GuardRecorder, Runner, ServerState, Ticket
 
 MAX_QUEUE_WAIT = 0.3
@@ -210,9 +211,11 @@
         assert report is not None
         ticket.is_running = True
         ticket.started_at = now
+        ticket.server_start = report.start
         self.running_by_run[ticket.run] = ticket
         self.cold_start_limiter.record_start(now)
         self.demand.record_run(ticket.route)
+        self.recorder.attempt_started(ticket)
         self.runner.run(ticket, report.instance, ticket.deadline - now)
 
     def _start_queued(self, now: float) -> None:
@@ -228,6 +231,21 @@
             else:
                 self._start(ticket, now)
 
+    def record_notice(self, ticket: Ticket, notice: ServerNotice, now: float) -> None:
+        """Apply what an answer states about the start of the server that sent it."""
+        report = self.monitor.server.report
+        if report is None or report.start != ticket.server_start:
+            return
+        if self.monitor.record_notice(notice, ticket.started_at, now):
+            self.recorder.server_noticed(ticket, notice, self)
+
+    def started_within(self, seconds: float, now: float) -> int:
+        """Return the number of calls sent to the server in the last `seconds`.
+
+        Calls are remembered for the window of the cold-start limit.
+        """
+        return self.cold_start_limiter.started_within(seconds, now)
+
     def answered(self, ticket: Ticket, answer: ServerAnswer, now: float) -> None:
         """Forward an answer of the backend server and start queued calls."""
         self._end(ticket)
--- a/knapweedlead/mesh/_reports.py
+++ b/knapweedlead/mesh/_reports.py
@@ -49,6 +49,11 @@
     cold_remaining: float
     born: int
 
+    @property
+    def start(self) -> tuple[str, int]:
+        """Instance and start time, which identify one start of the server."""
+        return self.instance, self.born
+
 
 @attrs.define(eq=False)
 class BackendServer:
@@ -85,9 +90,7 @@
             Whether the report was applied.
         """
         current = self.report
-        is_new_start = current is None or (
-            report.born != current.born or report.instance != current.instance
-        )
+        is_new_start = current is None or report.start != current.start
         if current is not None:
             if report.born < current.born:
                 return False
--- a/knapweedlead/mesh/_server_monitor.py
+++ b/knapweedlead/mesh/_server_monitor.py
@@ -4,6 +4,7 @@
 
 from knapweedlead.mesh._calls import Reason
 from knapweedlead.mesh._reports import BackendServer, ServerReport
+from knapweedlead.mesh._server_notices import ServerNotice
 
 SERVICE_TIME_SMOOTHING = 0.05
 """Weight of the newest call in the mean service time, which covers about 20 calls."""
@@ -40,6 +41,10 @@
         Whether a call has been answered since the instance appeared.
     failure_share : float
         Smoothed fraction of calls that failed or were rejected.
+    rate_limit : float
+        Calls per second that the server last stated to accept; infinite for no limit.
+    states_leaving : bool
+        Whether an answer of the server stated that it leaves.
     is_evacuated : bool
         Whether operators have taken the data centre out of service.
     is_stopping : bool
@@ -54,11 +59,14 @@
         self.service_time = INITIAL_SERVICE_TIME
         self.has_service_time = False
         self.failure_share = 0.0
+        self.rate_limit = math.inf
+        self.states_leaving = False
         self.is_evacuated = False
         self.is_stopping = False
         self.is_configured = False
         self._unreachable_at = -math.inf
         self._readmitted_at = -math.inf
+        self._limited_at = -math.inf
         self._answered_at = -math.inf
         self._is_stalled = False
 
@@ -69,9 +77,11 @@
         previous = self.server.report
         if not self.server.apply_report(report, now):
             return False
-        if previous is None or previous.instance != report.instance:
+        if previous is None or previous.start != report.start:
             self.failure_share = 0.0
             self.has_service_time = False
+            self.rate_limit = math.inf
+            self.states_leaving = False
         self._is_stalled = False
         return True
 
@@ -87,6 +97,38 @@
         was_stalled, self._is_stalled = self._is_stalled, False
         return was_stalled
 
+    def record_notice(self, notice: ServerNotice, sent_at: float, now: float) -> bool:
+        """Record what an answer states; return whether it differs from before.
+
+        Answers may arrive out of order. The limit therefore ends only with an answer to
+        a call that was sent after the server had stated the limit. A server that has
+        stated that it leaves does not return before its next start.
+
+        Parameters
+        ----------
+        notice : ServerNotice
+        sent_at : float
+            Time at which the answered call was sent.
+        now : float
+        """
+        is_leaving = notice.is_leaving or self.states_leaving
+        was_leaving, self.states_leaving = self.states_leaving, is_leaving
+        is_limit_changed = self._record_rate_limit(notice.rate_limit, sent_at, now)
+        return is_limit_changed or is_leaving != was_leaving
+
+    def _record_rate_limit(
+        self, limit: float | None, sent_at: float, now: float
+    ) -> bool:
+        """Update the rate limit, unless it is unknown; return whether it changed."""
+        if limit is None or limit == self.rate_limit:
+            return False
+        if limit == math.inf and sent_at <= self._limited_at:
+            return False
+        if self.rate_limit == math.inf:
+            self._limited_at = now
+        self.rate_limit = limit
+        return True
+
     def record_unreachable(self, at: float) -> None:
         """Record that no server, or another instance, is at the address."""
         self._unreachable_at = max(self._unreachable_at, at)
--- a/knapweedlead/mesh/_tickets.py
+++ b/knapweedlead/mesh/_tickets.py
@@ -5,6 +5,7 @@
 import attrs
 
 from knapweedlead.mesh._calls import AttemptTimes, Failure, ServerAnswer
+from knapweedlead.mesh._server_notices import ServerNotice
 
 if TYPE_CHECKING:
     from knapweedlead.mesh._guard import Guard
@@ -28,6 +29,16 @@
     head, body : bytes
         Request to send to the backend server.
     is_head_method : bool
+
+    Attributes
+    ----------
+    arrived_at, started_at : float
+        Times at which the call arrived at the guard and was sent to the server.
+    run : int
+        Assigned by the guard.
+    server_start : tuple of (str, int)
+        Start of the backend server to which the call was sent.
+    is_running, is_cancelled : bool
     """
 
     number: int
@@ -45,6 +56,7 @@
     arrived_at: float = 0.0
     started_at: float = 0.0
     run: int = 0
+    server_start: tuple[str, int] = ("", 0)
     is_running: bool = False
     is_cancelled: bool = False
 
@@ -76,6 +88,14 @@
 class GuardRecorder(Protocol):
     """Counts and logs the outcomes of calls at a guard."""
 
+    def attempt_started(self, ticket: Ticket) -> None:
+        """Record a call that was sent to the backend server."""
+
+    def server_noticed(
+        self, ticket: Ticket, notice: ServerNotice, guard: "Guard"
+    ) -> None:
+        """Record that an answer changed what is known about the backend server."""
+
     def attempt_failed(self, ticket: Ticket, failure: Failure, guard: "Guard") -> None:
         """Record a call that ended without an answer."""
 
--- a/knapweedlead/mesh/tests/harness.py
+++ b/knapweedlead/mesh/tests/harness.py
@@ -195,6 +195,12 @@
     def retried(self, call, failure):
         """Ignore a retry."""
 
+    def attempt_started(self, ticket):
+        """Ignore an attempt."""
+
+    def server_noticed(self, ticket, notice, guard):
+        """Ignore a notice."""
+
     def attempt_failed(self, ticket, failure, guard):
         """Ignore a failed attempt."""
 
--- a/knapweedlead/platform/_requests.py
+++ b/knapweedlead/platform/_requests.py
@@ -6,7 +6,7 @@
 from result import Err, Ok, Result
 
 from knapweedlead.errors import CodecError
-from knapweedlead.mesh import Call
+from knapweedlead.mesh import Call, ServerNotice
 
 REQUEST_ID = "knapweedlead-request-id"
 DEADLINE = "knapweedlead-deadline-ms"
@@ -17,6 +17,8 @@
 NOT_EXECUTED = "knapweedlead-not-executed"
 INSTANCE_ID = "knapweedlead-instance-id"
 COLD = "knapweedlead-cold-ms"
+SERVER_LIMIT = "server-limit"
+SERVER_LEAVING = "server-leaving"
 
 KEY_SCHEME = "token "
 MISDIRECTED_STATUS = 421
@@ -161,6 +163,27 @@
     }
 
 
+def decode_server_notice(headers: dict[str, str]) -> ServerNotice:
+    """Decode what a backend server states about itself in the headers of an answer.
+
+    Anything but ``0`` in the header of a leaving server means that it leaves. Of
+    several limits, the lowest one holds.
+    """
+    limit = headers.get(SERVER_LIMIT)
+    is_leaving = headers.get(SERVER_LEAVING, "0").strip() != "0"
+    if limit is None:
+        return ServerNotice(is_leaving=is_leaving)
+    return ServerNotice(_parse_rate_limit(limit), is_leaving)
+
+
+def _parse_rate_limit(text: str) -> float | None:
+    try:
+        limit = min(float(part) for part in text.split(","))
+    except ValueError:
+        return None
+    return limit if 0.0 <= limit < math.inf else None
+
+
 def is_misdirected(status: int) -> bool:
     """Return whether the request reached another start of the server than expected."""
     return status == MISDIRECTED_STATUS
--- a/knapweedlead/platform/tests/test_decoders.py
+++ b/knapweedlead/platform/tests/test_decoders.py
@@ -3,16 +3,19 @@
 import base64
 import copy
 import json
+import math
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from result import Err, Ok
 
-from knapweedlead.mesh import FleetState, Member, apply_change
+from knapweedlead.mesh import FleetState, Member, ServerNotice, apply_change
 from knapweedlead.platform import (
     decode_call,
     decode_configuration,
     decode_heartbeat,
+    decode_server_notice,
     load_boot_file,
 )
 from knapweedlead.platform._keys import decode_changes, encode_member
@@ -247,3 +250,23 @@
     entries.append({"key": "op/config", "value": value, "revision": 5})
     change = decode_changes([*entries, valid], 6)
     assert change.joined == (member,)
+
+
+@pytest.mark.parametrize(
+    ("headers", "notice"),
+    [
+        ({}, ServerNotice(math.inf, False)),
+        ({"server-limit": "31.6"}, ServerNotice(31.6, False)),
+        ({"server-limit": "0"}, ServerNotice(0.0, False)),
+        ({"server-limit": "40, 31.6"}, ServerNotice(31.6, False)),
+        ({"server-limit": "nan"}, ServerNotice(None, False)),
+        ({"server-limit": "inf"}, ServerNotice(None, False)),
+        ({"server-limit": "-1"}, ServerNotice(None, False)),
+        ({"server-limit": "many"}, ServerNotice(None, False)),
+        ({"server-leaving": "1"}, ServerNotice(math.inf, True)),
+        ({"server-leaving": "0"}, ServerNotice(math.inf, False)),
+        ({"server-leaving": "soon"}, ServerNotice(math.inf, True)),
+    ],
+)
+def test_server_notice_that_cannot_be_read_never_permits_more(headers, notice):
+    assert decode_server_notice(headers) == notice
--- a/knapweedlead/platform/tests/test_names.py
+++ b/knapweedlead/platform/tests/test_names.py
@@ -10,7 +10,7 @@
 # same name.
 NAMES = re.compile(
     r"Knapweedlead-|knapweedlead-(request-id|expect|tenant|caller|response"
-    r"|not-executed|instance-id|cold)|/-/|kv-(key|range|watch|txn|lease|keep)"
+    r"|not-executed|instance-id|cold)|server-(limit|leaving)|/-/|kv-(key|range|watch|txn|lease|keep)"
     r"|KNAPWEEDLEAD_BOOT|nodeName|virtualHosts|apiKeys|heartbeatAddress|appAddr"
     r"|timeoutMs|coldRemainingMs|op/(config|evacuate)",
 )
--- a/knapweedlead/sidecar/_recorder.py
+++ b/knapweedlead/sidecar/_recorder.py
@@ -15,6 +15,7 @@
     Guard,
     Reason,
     ServerAnswer,
+    ServerNotice,
     StorePurpose,
     Ticket,
 )
@@ -221,6 +222,26 @@
 
     # Calls at the guard.
 
+    def attempt_started(self, ticket: Ticket) -> None:
+        """Count a call that was sent to the backend server."""
+        self.count("attempts.started")
+
+    def server_noticed(
+        self, ticket: Ticket, notice: ServerNotice, guard: Guard
+    ) -> None:
+        """Log a change of what the backend server states about itself."""
+        instance, born = ticket.server_start
+        self.log(
+            "server_notice",
+            request=ticket.request_id,
+            instance=instance,
+            born=born,
+            rate_limit=notice.rate_limit,
+            is_leaving=notice.is_leaving,
+            running=len(guard.running_by_run),
+            waiting=len(guard.queued_by_run),
+        )
+
     def attempt_failed(self, ticket: Ticket, failure: Failure, guard: Guard) -> None:
         """Record an attempt without an answer; a cancelled attempt is only counted."""
         self.count("attempts.failed", failure.reason.value)
--- a/knapweedlead/sidecar/_runner.py
+++ b/knapweedlead/sidecar/_runner.py
@@ -6,6 +6,7 @@
 from knapweedlead.mesh import Failure, Guard, Reason, ServerAnswer, Ticket
 from knapweedlead.platform import (
     REQUEST_ID,
+    decode_server_notice,
     is_declined,
     is_misdirected,
     is_sealed,
@@ -64,7 +65,11 @@
         status = answer.status
         if is_misdirected(status):
             self.guard.misdirected(ticket, now)
-        elif is_declined(answer.headers):
+            return
+        if is_sealed(answer.headers) or is_declined(answer.headers):
+            notice = decode_server_notice(answer.headers)
+            self.guard.record_notice(ticket, notice, now)
+        if is_declined(answer.headers):
             self.guard.rejected(ticket, _retry_after(answer.headers), now)
         elif is_forwardable(answer):
             server_answer = ServerAnswer(status, answer.headers, answer.body)
--- a/knapweedlead/sidecar/_sidecar.py
+++ b/knapweedlead/sidecar/_sidecar.py
@@ -45,6 +45,8 @@
 """Seconds between updates of the loads of all services."""
 TOTALS_PERIOD = 10.0
 """Seconds between log lines with totals."""
+LIMITED_PERIOD = 1.0
+"""Seconds between log lines while the backend server limits its rate."""
 STALENESS_SHARE = 0.8
 """Fraction of the revocation time after which an unconfirmed configuration admits no
 keys; the rest of the time covers calls in transit to the backend server."""
@@ -166,6 +168,7 @@
         self._tasks.append(asyncio.ensure_future(self._update_peers()))
         self._tasks.append(asyncio.ensure_future(self._update_load()))
         self._tasks.append(asyncio.ensure_future(self._log_totals()))
+        self._tasks.append(asyncio.ensure_future(self._log_limited()))
         self.recorder.log(
             "started",
             service=settings.service,
@@ -268,6 +271,20 @@
                 **self.recorder.totals("store.calls", "calls.refused"),
             )
 
+    async def _log_limited(self) -> None:
+        """Log the calls sent each second while the backend server limits its rate."""
+        while True:
+            await asyncio.sleep(LIMITED_PERIOD)
+            guard = self.guard
+            if guard.monitor.rate_limit < math.inf:
+                self.recorder.log(
+                    "server_limited",
+                    rate_limit=guard.monitor.rate_limit,
+                    started=guard.started_within(LIMITED_PERIOD, self.clock()),
+                    running=len(guard.running_by_run),
+                    waiting=len(guard.queued_by_run),
+                )
+
     async def _update_load(self) -> None:
         while True:
             try:
