--- a/knapweedlead/platform/tests/fleets.py
+++ b/knapweedlead/platform/tests/fleets.py
@@ -155,6 +155,14 @@
         self.servers.append(server)
         await server.start()
 
+    async def restart(self, index):
+        """Kill a daemon and start it again; its backend server keeps running."""
+        await self.kill(self.sidecars[index])
+        self.sidecars[index] = Sidecar(
+            self.sidecars[index].settings, random.Random(index)
+        )
+        await self.sidecars[index].start()
+
     def is_ready(self, sidecar):
         """Return whether a daemon has tokens and all backend servers are available."""
         if sidecar.entry.configuration is None:
--- a/knapweedlead/platform/tests/standin_server.py
+++ b/knapweedlead/platform/tests/standin_server.py
@@ -26,6 +26,7 @@
     path: str
     headers: dict
     body: bytes
+    at: float = 0.0
 
 
 class StandinServer:
@@ -45,6 +46,10 @@
     ----------
     behaviour : str
         ``"answer"``, ``"decline"`` (not executed) or ``"cut"`` (connection closed).
+    notices : dict
+        Headers that are added to all answers.
+    received : list of ReceivedRequest
+        Requests so far; ``at`` is the event loop's time.
     """
 
     def __init__(self, address, report_address, service, data_centre, child=None):
@@ -61,6 +66,7 @@
         self.service_time = 0.0
         self.received = []
         self.behaviour = "answer"
+        self.notices = {}
         self._sequence = itertools.count(1)
         self._runs = itertools.count(1)
         self._futures = {}
@@ -135,7 +141,12 @@
 
     def _on_request(self, request):
         self.received.append(
-            ReceivedRequest(request.path, request.headers, request.body)
+            ReceivedRequest(
+                request.path,
+                request.headers,
+                request.body,
+                asyncio.get_running_loop().time(),
+            )
         )
         asyncio.ensure_future(self._serve(request))
 
@@ -143,7 +154,7 @@
         headers = {
             "knapweedlead-request-id": request.headers["knapweedlead-request-id"],
             "knapweedlead-response-seal": f"seal-{self.address}",
-        }
+        } | self.notices
         expected = request.headers.get("knapweedlead-expect-instance")
         if expected not in (None, self.instance):
             self.server.reply(request.exchange, 421, {}, b"")
