--- a/knapweedlead/mesh/_calls.py
+++ b/knapweedlead/mesh/_calls.py
@@ -84,6 +84,7 @@
     RATE_EXCEEDED = "rate_exceeded"
     SHED = "shed"
     OVERLOADED = "overloaded"
+    SERVER_RATE_LIMITED = "backend_server_rate_limited"
     QUEUE_TIMEOUT = "queue_timeout"
     COLD = "cold"
     DRAINING = "draining"
--- a/knapweedlead/mesh/_guard.py
+++ b/knapweedlead/mesh/_guard.py
@@ -10,7 +10,8 @@
 from knapweedlead.mesh._demand import DemandModel
 from knapweedlead.mesh._reports import ServerReport
 from knapweedlead.mesh._server_monitor import ServerMonitor
-from knapweedlead.mesh._server_notices import ServerNotice
+from knapweedlead.mesh._server_notices import NO_NOTICE, ServerNotice
+from knapweedlead.mesh._server_rate_limiter import ServerRateLimiter
 from knapweedlead.mesh._tickets import GuardRecorder, Runner, ServerState, Ticket
 
 MAX_QUEUE_WAIT = 0.3
@@ -51,6 +52,7 @@
         self.on_change = on_change
         self.monitor = ServerMonitor(service)
         self.cold_start_limiter = ColdStartLimiter()
+        self.rate_limiter = ServerRateLimiter()
         self.queue = QUEUES.create("priority_fair")
         self.running_by_run: dict[int, Ticket] = {}
         self.queued_by_run: dict[int, Ticket] = {}
@@ -65,6 +67,7 @@
         """Apply a heartbeat of the backend server; return whether it was new."""
         if not self.monitor.apply_report(report, now):
             return False
+        self.rate_limiter.set_rate(self.monitor.rate_limit, now)
         self._changed(now)
         return True
 
@@ -115,6 +118,11 @@
         """Smoothed mean seconds per call."""
         return self.monitor.service_time
 
+    @property
+    def is_rate_limited(self) -> bool:
+        """Whether the backend server limits the rate at which it accepts calls."""
+        return self.rate_limiter.rate < math.inf
+
     @property
     def is_evacuated(self) -> bool:
         """Whether operators have taken the data centre out of service."""
@@ -139,6 +147,7 @@
             service_time=monitor.service_time if monitor.has_service_time else 0.0,
             is_cold=monitor.is_cold(now),
             failure_share=monitor.failure_share,
+            rate_limit=monitor.rate_limit,
         )
 
     # Calls.
@@ -170,13 +179,21 @@
     def _has_capacity(self, now: float) -> bool:
         if now < self._paused_until or len(self.running_by_run) >= self.limit:
             return False
+        if not self.rate_limiter.has_capacity(now):
+            return False
         return not self.is_cold(now) or self.cold_start_limiter.has_capacity(
             self._cold_rate, now
         )
 
     def _queue_capacity(self) -> int:
-        capacity = self.limit * MAX_QUEUE_WAIT / self.service_time
-        return max(MIN_QUEUE, min(4 * self.limit, int(capacity)))
+        capacity = int(self._throughput() * MAX_QUEUE_WAIT)
+        if self.is_rate_limited:
+            return max(1, capacity)
+        return max(MIN_QUEUE, min(4 * self.limit, capacity))
+
+    def _throughput(self) -> float:
+        """Return the calls per second that the backend server can process."""
+        return min(self.rate_limiter.rate, self.limit / self.service_time)
 
     def _enqueue(self, ticket: Ticket, now: float) -> None:
         if self.is_cold(now):
@@ -194,10 +211,14 @@
         )
         dropped = self.queue.push(queued, self._queue_capacity(), now)
         if dropped is not None:
-            self._refuse(self.queued_by_run.pop(dropped.run), Reason.OVERLOADED)
+            reason = Reason.OVERLOADED
+            if self.is_rate_limited:
+                reason = Reason.SERVER_RATE_LIMITED
+            self._refuse(self.queued_by_run.pop(dropped.run), reason)
 
     def _refuse(self, ticket: Ticket, reason: Reason) -> None:
-        retry_after = self.service_time * len(self.queued_by_run) / max(1, self.limit)
+        throughput = max(self._throughput(), 1.0 / self.service_time)
+        retry_after = len(self.queued_by_run) / throughput
         self._report(ticket, Failure(reason, False, retry_after=retry_after))
 
     def _refuse_queued(self, reason: Reason) -> None:
@@ -214,6 +235,7 @@
         ticket.server_start = report.start
         self.running_by_run[ticket.run] = ticket
         self.cold_start_limiter.record_start(now)
+        self.rate_limiter.record_start(now)
         self.demand.record_run(ticket.route)
         self.recorder.attempt_started(ticket)
         self.runner.run(ticket, report.instance, ticket.deadline - now)
@@ -231,13 +253,15 @@
             else:
                 self._start(ticket, now)
 
-    def record_notice(self, ticket: Ticket, notice: ServerNotice, now: float) -> None:
+    def _apply_notice(self, ticket: Ticket, notice: ServerNotice, now: float) -> None:
         """Apply what an answer states about the start of the server that sent it."""
         report = self.monitor.server.report
         if report is None or report.start != ticket.server_start:
             return
         if self.monitor.record_notice(notice, ticket.started_at, now):
             self.recorder.server_noticed(ticket, notice, self)
+            self.rate_limiter.set_rate(self.monitor.rate_limit, now)
+            self._changed(now)
 
     def started_within(self, seconds: float, now: float) -> int:
         """Return the number of calls sent to the server in the last `seconds`.
@@ -246,18 +270,34 @@
         """
         return self.cold_start_limiter.started_within(seconds, now)
 
-    def answered(self, ticket: Ticket, answer: ServerAnswer, now: float) -> None:
-        """Forward an answer of the backend server and start queued calls."""
+    def answered(
+        self,
+        ticket: Ticket,
+        answer: ServerAnswer,
+        now: float,
+        notice: ServerNotice = NO_NOTICE,
+    ) -> None:
+        """Forward an answer of the backend server and start queued calls.
+
+        The state that the notice leads to is announced before the answer is forwarded.
+        """
         self._end(ticket)
         self._record_answer(now)
         self.monitor.record_service_time(now - ticket.started_at)
         self.demand.record_slot_time(ticket.route, now - ticket.started_at)
         self.monitor.record_outcome(False)
+        self._apply_notice(ticket, notice, now)
         self.recorder.attempt_answered(ticket, answer, now)
         ticket.sender.answered(ticket, answer)
         self._start_queued(now)
 
-    def rejected(self, ticket: Ticket, retry_after: float, now: float) -> None:
+    def rejected(
+        self,
+        ticket: Ticket,
+        retry_after: float,
+        now: float,
+        notice: ServerNotice = NO_NOTICE,
+    ) -> None:
         """Report a call that the backend server declined to run.
 
         Pauses the queue if the server was at or close to its limit.
@@ -267,6 +307,7 @@
         self.monitor.record_outcome(True)
         if len(self.running_by_run) >= self.limit - 1:
             self._paused_until = now + REJECTION_PAUSE
+        self._apply_notice(ticket, notice, now)
         failure = Failure(Reason.REJECTED, False, True, retry_after)
         self._report(ticket, failure)
         self._start_queued(now)
--- a/knapweedlead/mesh/_placement.py
+++ b/knapweedlead/mesh/_placement.py
@@ -1,5 +1,6 @@
 """Placement: chooses the backend server that receives a call."""
 
+import math
 import random
 from collections.abc import Collection, Sequence
 from typing import Any, ClassVar, Protocol
@@ -78,6 +79,8 @@
 """Targets of the local and of all other data centres that are compared for one call.
 Comparing all targets of a large service costs more than it gains, and makes all entries
 choose the same few targets."""
+MIN_CAPACITY = 0.1
+"""Smallest capacity, in concurrent calls, that is used to compare targets."""
 UNKNOWN_SERVICE_TIME = 0.01
 """Seconds assumed for a server without a measured service time; short, so that it
 receives calls soon."""
@@ -175,7 +178,7 @@
 
     def _cost(self, target: Target) -> float:
         state = target.state
-        utilization = (target.load + 1) / max(1, state.limit)
+        utilization = _utilization(target)
         service_time = state.service_time or UNKNOWN_SERVICE_TIME
         cost = service_time * (1.0 + utilization + 6.0 * utilization**6)
         cost /= max(0.05, 1.0 - state.failure_share) ** 2
@@ -186,6 +189,19 @@
         return cost
 
 
+def _utilization(target: Target) -> float:
+    """Return the fraction of a target's capacity that one more call would use.
+
+    An idle server that limits its rate counts as unused, however small its capacity.
+    Otherwise it might receive no call at all, and the end of its limit would remain
+    unnoticed.
+    """
+    state = target.state
+    if state.rate_limit < math.inf:
+        return target.load / max(MIN_CAPACITY, state.capacity)
+    return (target.load + 1) / max(1, state.limit)
+
+
 def spread_sample(
     targets: Sequence[Target], max_count: int, rng: random.Random
 ) -> Sequence[Target]:
--- a/knapweedlead/mesh/_server_notices.py
+++ b/knapweedlead/mesh/_server_notices.py
@@ -1,7 +1,5 @@
 """What a backend server states about itself in its answers."""
 
-import math
-
 import attrs
 
 
@@ -13,10 +11,13 @@
     ----------
     rate_limit : float or None
         Calls per second that the server accepts from all callers together; infinite
-        if it states no limit, None if the stated limit could not be decoded.
+        if it has no limit, None if the answer does not tell.
     is_leaving : bool
         Whether the server leaves and must receive no more calls.
     """
 
-    rate_limit: float | None = math.inf
+    rate_limit: float | None = None
     is_leaving: bool = False
+
+
+NO_NOTICE = ServerNotice()
--- a/knapweedlead/mesh/_shedding.py
+++ b/knapweedlead/mesh/_shedding.py
@@ -42,8 +42,9 @@
 
     Parameters
     ----------
-    slots : int
-        Calls that the open backend servers of the service process concurrently.
+    slots : float
+        Calls that the open backend servers of the service may run concurrently, with
+        the limits on their rates.
     load : int
         Running and queued calls.
     demand : float
@@ -51,7 +52,7 @@
         these daemons.
     """
 
-    slots: int
+    slots: float
     load: int
     demand: float
 
--- a/knapweedlead/mesh/_tickets.py
+++ b/knapweedlead/mesh/_tickets.py
@@ -1,5 +1,6 @@
 """Calls at a guard, and the interfaces that the guard depends on."""
 
+import math
 from typing import TYPE_CHECKING, Protocol
 
 import attrs
@@ -122,6 +123,8 @@
     is_cold : bool
     failure_share : float
         Smoothed fraction of calls that failed or were rejected.
+    rate_limit : float
+        Calls per second that the server accepts; infinite for no limit.
     """
 
     instance: str = ""
@@ -133,3 +136,11 @@
     service_time: float = 0.0
     is_cold: bool = False
     failure_share: float = 0.0
+    rate_limit: float = math.inf
+
+    @property
+    def capacity(self) -> float:
+        """Calls that may run concurrently without exceeding `limit` or `rate_limit`."""
+        if self.rate_limit == math.inf or self.service_time <= 0.0:
+            return self.limit
+        return min(self.limit, self.rate_limit * self.service_time)
--- a/knapweedlead/platform/_requests.py
+++ b/knapweedlead/platform/_requests.py
@@ -167,16 +167,17 @@
     """Decode what a backend server states about itself in the headers of an answer.
 
     Anything but ``0`` in the header of a leaving server means that it leaves. Of
-    several limits, the lowest one holds.
+    several limits, the lowest one holds. That there is no limit follows only from an
+    answer that certainly comes from the server.
     """
-    limit = headers.get(SERVER_LIMIT)
     is_leaving = headers.get(SERVER_LEAVING, "0").strip() != "0"
-    if limit is None:
-        return ServerNotice(is_leaving=is_leaving)
-    return ServerNotice(_parse_rate_limit(limit), is_leaving)
+    return ServerNotice(_decode_rate_limit(headers), is_leaving)
 
 
-def _parse_rate_limit(text: str) -> float | None:
+def _decode_rate_limit(headers: dict[str, str]) -> float | None:
+    text = headers.get(SERVER_LIMIT)
+    if text is None:
+        return math.inf if is_sealed(headers) or is_declined(headers) else None
     try:
         limit = min(float(part) for part in text.split(","))
     except ValueError:
--- a/knapweedlead/platform/tests/test_decoders.py
+++ b/knapweedlead/platform/tests/test_decoders.py
@@ -38,6 +38,9 @@
 }
 
 
+SEALED = {"knapweedlead-response-seal": "s"}
+
+
 @given(st.binary(max_size=200))
 def test_arbitrary_bytes_are_rejected_as_heartbeat_and_configuration(data):
     assert isinstance(decode_heartbeat("i", data), Err)
@@ -255,7 +258,10 @@
 @pytest.mark.parametrize(
     ("headers", "notice"),
     [
-        ({}, ServerNotice(math.inf, False)),
+        ({}, ServerNotice(None, False)),
+        (SEALED, ServerNotice(math.inf, False)),
+        ({"knapweedlead-not-executed": "1"}, ServerNotice(math.inf, False)),
+        (SEALED | {"server-limit": "31.6"}, ServerNotice(31.6, False)),
         ({"server-limit": "31.6"}, ServerNotice(31.6, False)),
         ({"server-limit": "0"}, ServerNotice(0.0, False)),
         ({"server-limit": "40, 31.6"}, ServerNotice(31.6, False)),
@@ -263,9 +269,10 @@
         ({"server-limit": "inf"}, ServerNotice(None, False)),
         ({"server-limit": "-1"}, ServerNotice(None, False)),
         ({"server-limit": "many"}, ServerNotice(None, False)),
-        ({"server-leaving": "1"}, ServerNotice(math.inf, True)),
-        ({"server-leaving": "0"}, ServerNotice(math.inf, False)),
-        ({"server-leaving": "soon"}, ServerNotice(math.inf, True)),
+        ({"server-leaving": "1"}, ServerNotice(None, True)),
+        (SEALED | {"server-leaving": "1"}, ServerNotice(math.inf, True)),
+        (SEALED | {"server-leaving": "0"}, ServerNotice(math.inf, False)),
+        (SEALED | {"server-leaving": "soon"}, ServerNotice(math.inf, True)),
     ],
 )
 def test_server_notice_that_cannot_be_read_never_permits_more(headers, notice):
--- a/knapweedlead/platform/tests/test_server_notices.py
+++ b/knapweedlead/platform/tests/test_server_notices.py
@@ -16,6 +16,7 @@
 DRAIN_TIME = 2.0
 """Seconds after which a server that leaves receives no call."""
 CALL_INTERVAL = 0.025
+DENSE_INTERVAL = 0.01
 """Seconds between the calls that a test sends."""
 
 
@@ -26,16 +27,16 @@
         server.service_time = service_time
 
 
-async def send_calls(fleet, seconds, index=1):
+async def send_calls(fleet, seconds, index=1, interval=CALL_INTERVAL):
     """Send calls to a daemon at a constant rate; return the statuses."""
     calls = []
-    for number in range(int(seconds / CALL_INTERVAL)):
+    for number in range(int(seconds / interval)):
         calls.append(
             asyncio.ensure_future(
                 fleet.call(index, "GET", "/read/1", request_id=f"{index}-{number}")
             )
         )
-        await asyncio.sleep(CALL_INTERVAL)
+        await asyncio.sleep(interval)
     answers = await asyncio.gather(*calls)
     return [answer.status for answer in answers]
 
@@ -65,12 +66,14 @@
 
 async def test_restart_of_the_daemon_does_not_lift_the_limit_that_its_server_states():
     async with Fleet() as fleet:
-        prefer_server_of_daemon_0(fleet)
-        limited = fleet.servers[0]
+        limited, other = fleet.servers[:2]
+        other.state = "draining"
+        limited.slots = 100
         limited.notices = {"server-limit": str(LIMIT)}
         limited.service_time = 1.0
-        fleet.servers[1].service_time = 1.5
-        load = asyncio.ensure_future(send_calls(fleet, 2 * WINDOW))
+        load = asyncio.ensure_future(
+            send_calls(fleet, 2 * WINDOW, interval=DENSE_INTERVAL)
+        )
         await asyncio.sleep(STABLE_TIME + 1.0)
         await fleet.restart(0)
         await load
--- a/knapweedlead/sidecar/_load_tracker.py
+++ b/knapweedlead/sidecar/_load_tracker.py
@@ -88,7 +88,7 @@
         for service, targets in self.targets_by_service.items():
             open_targets = [target for target in targets if target.is_open]
             loads[service] = ServiceLoad(
-                slots=sum(target.state.limit for target in open_targets),
+                slots=sum(target.state.capacity for target in open_targets),
                 load=sum(target.load for target in open_targets),
                 demand=demand_of_others.get(service, 0.0),
             )
--- a/knapweedlead/sidecar/_runner.py
+++ b/knapweedlead/sidecar/_runner.py
@@ -63,17 +63,14 @@
         ticket = self._ticket_by_run.pop(run)
         now = self.clock()
         status = answer.status
+        notice = decode_server_notice(answer.headers)
         if is_misdirected(status):
             self.guard.misdirected(ticket, now)
-            return
-        if is_sealed(answer.headers) or is_declined(answer.headers):
-            notice = decode_server_notice(answer.headers)
-            self.guard.record_notice(ticket, notice, now)
-        if is_declined(answer.headers):
-            self.guard.rejected(ticket, _retry_after(answer.headers), now)
+        elif is_declined(answer.headers):
+            self.guard.rejected(ticket, _retry_after(answer.headers), now, notice)
         elif is_forwardable(answer):
             server_answer = ServerAnswer(status, answer.headers, answer.body)
-            self.guard.answered(ticket, server_answer, now)
+            self.guard.answered(ticket, server_answer, now, notice)
         else:
             failure = Failure(Reason.BROKEN_ANSWER, True, True)
             self.guard.failed(ticket, failure, now)
--- a/knapweedlead/sidecar/_sidecar.py
+++ b/knapweedlead/sidecar/_sidecar.py
@@ -370,7 +370,13 @@
         """
         state = self.guard.state(self.clock())
         self.local_target.apply_state(state)
-        announced = state.instance, state.service, state.is_open, state.is_cold
+        announced = (
+            state.instance,
+            state.service,
+            state.is_open,
+            state.is_cold,
+            state.rate_limit,
+        )
         if announced != self._announced:
             self._announced = announced
             self.links.send_state_to_all()
