--- a/knapweedlead/mesh/_guard.py
+++ b/knapweedlead/mesh/_guard.py
@@ -110,7 +110,7 @@
 
     @property
     def limit(self) -> int:
-        """Number of calls that the backend server processes concurrently."""
+        """Number of calls that may run at the backend server concurrently."""
         return self.monitor.limit
 
     @property
--- a/knapweedlead/mesh/_server_monitor.py
+++ b/knapweedlead/mesh/_server_monitor.py
@@ -23,6 +23,11 @@
 service times. It receives no calls until its next answer or heartbeat."""
 
 
+UNPROVEN_LIMIT = 4
+"""Calls that run concurrently until the first answer of a server, or the first one to
+this daemon. Only an answer tells whether the server limits its rate or leaves."""
+
+
 class ServerMonitor:
     """State of the backend server, from its heartbeats and its answers.
 
@@ -43,6 +48,8 @@
         Smoothed fraction of calls that failed or were rejected.
     rate_limit : float
         Calls per second that the server last stated to accept; infinite for no limit.
+    is_proven : bool
+        Whether an answer has told whether the server limits its rate.
     states_leaving : bool
         Whether an answer of the server stated that it leaves.
     is_evacuated : bool
@@ -60,6 +67,7 @@
         self.has_service_time = False
         self.failure_share = 0.0
         self.rate_limit = math.inf
+        self.is_proven = False
         self.states_leaving = False
         self.is_evacuated = False
         self.is_stopping = False
@@ -81,6 +89,7 @@
             self.failure_share = 0.0
             self.has_service_time = False
             self.rate_limit = math.inf
+            self.is_proven = False
             self.states_leaving = False
         self._is_stalled = False
         return True
@@ -113,8 +122,10 @@
         """
         is_leaving = notice.is_leaving or self.states_leaving
         was_leaving, self.states_leaving = self.states_leaving, is_leaving
+        is_proven = self.is_proven or notice.rate_limit is not None
+        was_proven, self.is_proven = self.is_proven, is_proven
         is_limit_changed = self._record_rate_limit(notice.rate_limit, sent_at, now)
-        return is_limit_changed or is_leaving != was_leaving
+        return is_limit_changed or is_leaving != was_leaving or is_proven != was_proven
 
     def _record_rate_limit(
         self, limit: float | None, sent_at: float, now: float
@@ -195,6 +206,7 @@
 
     @property
     def limit(self) -> int:
-        """Number of calls that the backend server processes concurrently."""
+        """Number of calls that may run at the backend server concurrently."""
         report = self.server.report
-        return 0 if report is None else report.slots
+        slots = 0 if report is None else report.slots
+        return slots if self.is_proven else min(slots, UNPROVEN_LIMIT)
--- a/knapweedlead/mesh/tests/harness.py
+++ b/knapweedlead/mesh/tests/harness.py
@@ -114,14 +114,18 @@
 
 
 class GuardHarness:
-    """A guard with a recording runner and sender."""
+    """A guard with a recording runner and sender.
 
-    def __init__(self, now=100.0, **report):
+    Its server counts as one that has answered before, unless `is_proven` is False.
+    """
+
+    def __init__(self, now=100.0, is_proven=True, **report):
         self.runner = RecordingRunner()
         self.sender = RecordingSender()
         self.guard = Guard("lines", "north", self.runner, NullRecorder(), lambda: None)
         self.guard.apply_configuration(make_configuration(), frozenset(), now)
         self.guard.apply_report(make_report(**report), now)
+        self.guard.monitor.is_proven = is_proven
         self.numbers = iter(range(1, 1_000_000))
 
     def ticket(self, now, deadline=None, **changes):
--- a/knapweedlead/mesh/tests/test_server_rate_limit.py
+++ b/knapweedlead/mesh/tests/test_server_rate_limit.py
@@ -5,13 +5,15 @@
 import pytest
 
 from knapweedlead.errors import ParameterError
-from knapweedlead.mesh import Reason, ServerNotice, ServerState
+from knapweedlead.mesh import Failure, Reason, ServerNotice, ServerState
+from knapweedlead.mesh._server_monitor import UNPROVEN_LIMIT
 from knapweedlead.mesh._server_rate_limiter import ServerRateLimiter
 from knapweedlead.mesh.tests.harness import OK, GuardHarness, make_report
 
 STEP = 0.01
 SERVICE_TIME = 0.1
 NO_LIMIT = ServerNotice(math.inf)
+FAILED = Failure(Reason.FAILED, True, True)
 
 
 def limited(rate):
@@ -118,6 +120,34 @@
     assert harness.guard.state(100.1).rate_limit == math.inf
 
 
+def test_server_without_an_answer_is_not_flooded_before_it_can_state_a_limit():
+    harness = GuardHarness(slots=142, is_proven=False)
+    for _ in range(50):
+        harness.offer(100.0)
+    assert len(harness.runner.started) == UNPROVEN_LIMIT
+    harness.guard.failed(harness.runner.started[0], FAILED, 100.1)
+    assert len(harness.runner.started) == UNPROVEN_LIMIT + 1
+    harness.guard.answered(harness.runner.started[1], OK, 100.2, limited(10.0))
+    harness.guard.tick(100.31)
+    assert len(harness.runner.started) == UNPROVEN_LIMIT + 2
+
+
+def test_server_without_a_limit_gets_all_calls_from_its_first_answer_on():
+    harness = GuardHarness(slots=142, is_proven=False)
+    for _ in range(20):
+        harness.offer(100.0)
+    harness.guard.answered(harness.runner.started[0], OK, 100.1, NO_LIMIT)
+    assert len(harness.runner.started) == 20
+
+
+def test_new_start_is_not_flooded_before_it_can_state_a_limit():
+    harness = GuardHarness(slots=142)
+    harness.guard.apply_report(make_report(born=2000, slots=142), 100.5)
+    for _ in range(20):
+        harness.offer(100.6)
+    assert len(harness.runner.started) == UNPROVEN_LIMIT
+
+
 def test_capacity_follows_the_rate_limit():
     state = ServerState("i", "lines", True, limit=142, service_time=0.15)
     assert state.capacity == 142
--- a/knapweedlead/sidecar/_sidecar.py
+++ b/knapweedlead/sidecar/_sidecar.py
@@ -376,6 +376,7 @@
             state.is_open,
             state.is_cold,
             state.rate_limit,
+            state.limit,
         )
         if announced != self._announced:
             self._announced = announced
