--- a/knapweedlead/mesh/_server_monitor.py
+++ b/knapweedlead/mesh/_server_monitor.py
@@ -184,7 +184,7 @@
             return Reason.OUT_OF_SERVICE
         if server.report is None or not self.is_configured:
             return Reason.NO_BACKEND_SERVER
-        if server.has_left:
+        if server.has_left or self.states_leaving:
             return Reason.DRAINING
         if server.reported_at <= self._unreachable_at:
             return Reason.UNREACHABLE
--- a/knapweedlead/mesh/tests/test_guard.py
+++ b/knapweedlead/mesh/tests/test_guard.py
@@ -1,8 +1,10 @@
 """Guarantees of the guard: which calls the local backend server receives."""
 
+import math
+
 import pytest
 
-from knapweedlead.mesh import Failure, Reason
+from knapweedlead.mesh import Failure, Reason, ServerNotice
 from knapweedlead.mesh.tests.harness import (
     OK,
     GuardHarness,
@@ -38,6 +40,37 @@
     assert not failure.may_have_run
 
 
+def test_server_that_states_in_an_answer_that_it_leaves_receives_no_calls():
+    harness = GuardHarness(slots=1)
+    ticket = harness.offer(100.0)
+    harness.offer(100.0)
+    harness.guard.answered(ticket, OK, 100.1, ServerNotice(math.inf, True))
+    harness.guard.apply_report(make_report(sequence=2), 100.2)
+    harness.offer(100.3)
+    assert harness.runner.started == [ticket]
+    reasons = [failure.reason for _, failure in harness.sender.failures]
+    assert reasons == [Reason.DRAINING, Reason.DRAINING]
+
+
+def test_next_start_of_a_server_that_stated_that_it_leaves_receives_calls():
+    harness = GuardHarness()
+    ticket = harness.offer(100.0)
+    harness.guard.answered(ticket, OK, 100.1, ServerNotice(math.inf, True))
+    harness.guard.apply_report(make_report(born=2000), 103.0)
+    harness.offer(103.1)
+    assert len(harness.runner.started) == 2
+
+
+def test_entries_learn_that_a_server_leaves_before_they_pass_on_the_answer():
+    events = []
+    harness = GuardHarness()
+    harness.guard.on_change = lambda: events.append("state")
+    harness.sender.answered = lambda ticket, answer: events.append("answer")
+    ticket = harness.offer(100.0)
+    harness.guard.answered(ticket, OK, 100.1, ServerNotice(math.inf, True))
+    assert events == ["state", "answer"]
+
+
 def test_late_heartbeat_of_an_earlier_start_is_ignored():
     harness = GuardHarness()
     harness.guard.apply_report(make_report(instance="i-2", born=2000), 101.0)
