--- a/knapweedlead/mesh/__init__.py
+++ b/knapweedlead/mesh/__init__.py
@@ -26,6 +26,7 @@
     Outbox,
     add_sums,
 )
+from knapweedlead.mesh._departures import Departures
 from knapweedlead.mesh._entry import Entry
 from knapweedlead.mesh._entry_calls import EntryCall, EntrySettings
 from knapweedlead.mesh._fleet_state import (
@@ -61,6 +62,7 @@
     "ClientAccount",
     "ColdStartLimiter",
     "DemandExchange",
+    "Departures",
     "DemandSum",
     "Entry",
     "EntryCall",
--- a/knapweedlead/mesh/_guard.py
+++ b/knapweedlead/mesh/_guard.py
@@ -80,6 +80,14 @@
         self._changed(now)
         return is_known
 
+    def record_departure(self, instance: str, born: int, now: float) -> bool:
+        """Record that a start of the server leaves; return whether this was unknown."""
+        report = self.monitor.server.report
+        is_present = report is not None and report.start == (instance, born)
+        if not is_present or self.monitor.is_leaving:
+            return False
+        return self.record_leave(instance, now)
+
     def apply_configuration(
         self,
         configuration: MeshConfiguration,
@@ -148,6 +156,8 @@
             is_cold=monitor.is_cold(now),
             failure_share=monitor.failure_share,
             rate_limit=monitor.rate_limit,
+            born=0 if report is None else report.born,
+            is_leaving=monitor.is_leaving,
         )
 
     # Calls.
--- a/knapweedlead/mesh/_server_monitor.py
+++ b/knapweedlead/mesh/_server_monitor.py
@@ -175,6 +175,11 @@
 
     # Derived state.
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the server drains or leaves, by any source."""
+        return self.server.has_left or self.states_leaving
+
     def closed_reason(self, now: float) -> Reason | None:
         """Return why the backend server accepts no calls; None if it accepts calls."""
         server = self.server
@@ -184,7 +189,7 @@
             return Reason.OUT_OF_SERVICE
         if server.report is None or not self.is_configured:
             return Reason.NO_BACKEND_SERVER
-        if server.has_left or self.states_leaving:
+        if self.is_leaving:
             return Reason.DRAINING
         if server.reported_at <= self._unreachable_at:
             return Reason.UNREACHABLE
--- a/knapweedlead/mesh/_tickets.py
+++ b/knapweedlead/mesh/_tickets.py
@@ -125,6 +125,10 @@
         Smoothed fraction of calls that failed or were rejected.
     rate_limit : float
         Calls per second that the server accepts; infinite for no limit.
+    born : int
+        Start time of the instance in milliseconds since the epoch; 0 if unknown.
+    is_leaving : bool
+        Whether this start of the server drains or leaves.
     """
 
     instance: str = ""
@@ -137,6 +141,8 @@
     is_cold: bool = False
     failure_share: float = 0.0
     rate_limit: float = math.inf
+    born: int = 0
+    is_leaving: bool = False
 
     @property
     def capacity(self) -> float:
--- a/knapweedlead/platform/tests/test_server_notices.py
+++ b/knapweedlead/platform/tests/test_server_notices.py
@@ -109,3 +109,20 @@
         before = len(leaving.received)
         assert set(await send_calls(fleet, 1.0)) == {200}
         assert len(leaving.received) == before
+
+
+async def test_leave_acknowledged_before_a_restart_of_the_daemon_binds_after_it():
+    async with Fleet() as fleet:
+        prefer_server_of_daemon_0(fleet)
+        leaving = fleet.servers[0]
+        first = fleet.sidecars[0]
+        assert first.guard.record_leave(leaving.instance, first.clock())
+        await fleet.wait_until(
+            lambda: not fleet.sidecars[1].targets_by_service["front"][1].is_open
+        )
+        await fleet.restart(0)
+        await asyncio.sleep(DRAIN_TIME)
+        before = len(leaving.received)
+        for index in (0, 1):
+            assert set(await send_calls(fleet, 1.0, index)) == {200}
+        assert len(leaving.received) == before
--- a/knapweedlead/sidecar/_link_host.py
+++ b/knapweedlead/sidecar/_link_host.py
@@ -4,6 +4,7 @@
 
 from knapweedlead.mesh import (
     DemandExchange,
+    Departures,
     Entry,
     FleetChange,
     FleetState,
@@ -39,6 +40,7 @@
     entry: Entry
     guard: Guard
     demand_exchange: DemandExchange
+    departures: Departures
     traffic: LinkTraffic
 
     @property
@@ -58,6 +60,9 @@
     ) -> tuple[int, float]:
         """Lend tokens; return their number, and the seconds to wait if it is 0."""
 
+    def handle_departure(self, peer: str, instance: str, born: int) -> None:
+        """Handle a peer's word that a start of the local backend server leaves."""
+
     def record_link_change(self, name: str, is_up: bool, detail: str) -> None:
         """Log that a link was opened or lost."""
 
--- a/knapweedlead/sidecar/_outgoing_link.py
+++ b/knapweedlead/sidecar/_outgoing_link.py
@@ -13,6 +13,7 @@
     LinkMonitor,
     Member,
     ServerAnswer,
+    ServerState,
     Target,
 )
 from knapweedlead.sidecar._frames import FrameConnection
@@ -183,10 +184,19 @@
             self.target.is_up = True
             self.host.record_link_change(self.member.name, True, "")
         self.is_watching = state.is_watching
-        self.target.apply_state(state.server)
+        server = self.host.departures.apply(state.server)
+        if server is not state.server:
+            self._send_departure(server)
+        self.target.apply_state(server)
         if self.host.fleet.handle_peer_state(state):
             self._request_fleet_state()
 
+    def _send_departure(self, server: ServerState) -> None:
+        """Tell the peer that its server leaves, which it does not know any more."""
+        assert self.connection is not None
+        kind = FrameKind.SERVER_DEPARTED.value
+        self.connection.send([kind, server.instance, server.born])
+
     def _request_fleet_state(self) -> None:
         assert self.connection is not None
         known = self.host.fleet.state.configuration_revision
--- a/knapweedlead/sidecar/_serving.py
+++ b/knapweedlead/sidecar/_serving.py
@@ -63,6 +63,8 @@
             lent, retry_after = self.host.lend_tokens(account, wanted, is_important)
             kind = FrameKind.TOKEN_GRANT.value
             self.connection.send([kind, account, lent, is_important, retry_after])
+        elif kind == FrameKind.SERVER_DEPARTED:
+            self.host.handle_departure(self.peer_name, *frame[1:3])
         elif kind == FrameKind.DEMAND_REPORT:
             sender, part = decode_demand(frame)
             exchange = self.host.demand_exchange
--- a/knapweedlead/sidecar/_sidecar.py
+++ b/knapweedlead/sidecar/_sidecar.py
@@ -10,6 +10,7 @@
     PROBE_PERIOD,
     Call,
     DemandExchange,
+    Departures,
     Entry,
     EntrySettings,
     Freshness,
@@ -93,6 +94,7 @@
         self.heartbeat_listener = HeartbeatListener(self)
         self.ready_listener = StatusListener(self._readiness)
         self.metrics_listener = StatusListener(self._metrics)
+        self.departures = Departures()
         self.links = Links(self, settings.name, self._on_targets_change)
         self.local = LocalChannel(self)
         self.local_target = Target(
@@ -377,6 +379,8 @@
             state.is_cold,
             state.rate_limit,
             state.limit,
+            state.born,
+            state.is_leaving,
         )
         if announced != self._announced:
             self._announced = announced
@@ -386,6 +390,13 @@
 
     # Peers.
 
+    def handle_departure(self, peer: str, instance: str, born: int) -> None:
+        """Close the backend server if a peer knows that its present start leaves."""
+        if self.guard.record_departure(instance, born, self.clock()):
+            self.recorder.log(
+                "backend_server_left", instance=instance, born=born, source=peer
+            )
+
     def lend_tokens(
         self, name: str, wanted: int, is_important: bool
     ) -> tuple[int, float]:
--- a/knapweedlead/sidecar/_traffic.py
+++ b/knapweedlead/sidecar/_traffic.py
@@ -12,6 +12,7 @@
     FrameKind.FAILURE: "answer",
     FrameKind.PROBE: "probe",
     FrameKind.STATE: "state",
+    FrameKind.SERVER_DEPARTED: "state",
     FrameKind.FLEET_STATE_REQUEST: "configuration",
     FrameKind.FLEET_STATE: "configuration",
     FrameKind.FLEET_CHANGE: "configuration",
--- a/knapweedlead/sidecar/_wire.py
+++ b/knapweedlead/sidecar/_wire.py
@@ -45,6 +45,7 @@
     DEMAND_REPORT = 13
     DEMAND_PEER_SUM = 14
     DEMAND_FLEET_SUM = 15
+    SERVER_DEPARTED = 16
 
 
 def call_frame(call: EntryCall, remaining: float) -> list[Any]:
--- a/knapweedlead/sidecar/tests/test_control_traffic.py
+++ b/knapweedlead/sidecar/tests/test_control_traffic.py
@@ -137,7 +137,10 @@
 
 
 def test_fields_that_a_later_version_appends_are_ignored():
-    state = PeerState(1.0, -0.5, 7, True, ServerState("i", "deep", True, 1, 2, 10))
+    server = ServerState(
+        "i", "deep", True, 1, 2, 10, rate_limit=5.0, born=1000, is_leaving=True
+    )
+    state = PeerState(1.0, -0.5, 7, True, server)
     assert PeerState.from_frame([*state.to_frame(), "added"]) == state
     fleet = FleetState(7, b"{}", 5, frozenset({"north"}), {MEMBER.name: MEMBER})
     frame = fleet_state_frame(fleet, 0)
@@ -152,6 +155,13 @@
     assert decode_demand([*frame, "added"]) == ("daemon-1", DEMAND)
 
 
+def test_state_of_an_earlier_version_without_rate_limit_and_start_time_is_read():
+    state = PeerState(1.0, -0.5, 7, True, ServerState("i", "deep", True, 1, 2, 10))
+    fields_of_earlier_version = 14
+    frame = state.to_frame()[:fields_of_earlier_version]
+    assert PeerState.from_frame(frame) == state
+
+
 @pytest.mark.parametrize("value", [math.nan, math.inf, -1.0, "much", None])
 def test_absurd_demand_is_rejected(value):
     demand = attrs.evolve(DEMAND, demand_by_service={"deep": value})
