--- a/knapweedlead/http/_run.py
+++ b/knapweedlead/http/_run.py
@@ -39,7 +39,9 @@
     server closed the connection in an orderly way; otherwise it counts as truncated.
 
     If a run has a request ID, answers with a different ID are discarded: they are
-    late answers to earlier requests on the connection.
+    late answers to earlier requests on the connection. An answer without an ID could be
+    one too, unless the run is the first one of the connection. Such an answer fails its
+    run, and a connection whose server names no ID serves one run only.
 
     Parameters
     ----------
@@ -66,6 +68,7 @@
         self.idle_timeout = 0.0
         self.run = 0
         self._request_id = ""
+        self._has_served = False
         self._is_head = False
         self._discarded = 0
         self._detail = "connection lost"
@@ -194,13 +197,19 @@
             self._is_complete = True
 
     def _answers_other_request(self) -> bool:
-        answered_id = self._headers.get(self.client.request_id_header)
-        return (
-            bool(self._request_id)
-            and answered_id is not None
-            and answered_id != self._request_id
+        return self._names_request() and (
+            self._headers[self.client.request_id_header] != self._request_id
         )
 
+    def _names_request(self) -> bool:
+        """Return whether the answer to a run with a request ID has a request ID."""
+        return bool(self._request_id) and self.client.request_id_header in self._headers
+
+    @property
+    def _is_unattributable(self) -> bool:
+        """Whether the answer may belong to an earlier run of the connection."""
+        return bool(self._request_id) and self._has_served and not self._names_request()
+
     def eof_received(self) -> None:
         """Complete an answer that is delimited by the end of the connection."""
         accepts_end = self._is_close_delimited and self.client.accepts_close_delimited
@@ -215,7 +224,14 @@
             self._finish_run()
 
     def _finish_run(self) -> None:
+        if self._is_unattributable:
+            self.client.discarded_answers += 1
+            self.abort("answer without a request ID")
+            return
         run, self.run = self.run, 0
+        if self._request_id and not self._names_request():
+            self._keeps_alive = False
+        self._has_served = True
         self._cancel_timer()
         self.idle_timeout = _keep_alive_timeout(self._headers)
         answer = HttpAnswer(self._status, self._headers, b"".join(self._body))
--- a/knapweedlead/platform/tests/standin_server.py
+++ b/knapweedlead/platform/tests/standin_server.py
@@ -151,16 +151,15 @@
         asyncio.ensure_future(self._serve(request))
 
     async def _serve(self, request):
-        headers = {
-            "knapweedlead-request-id": request.headers["knapweedlead-request-id"],
-            "knapweedlead-response-seal": f"seal-{self.address}",
-        } | self.notices
+        echo = {"knapweedlead-request-id": request.headers["knapweedlead-request-id"]}
+        seal = {"knapweedlead-response-seal": f"seal-{self.address}"}
+        headers = echo | seal | self.notices
         expected = request.headers.get("knapweedlead-expect-instance")
         if expected not in (None, self.instance):
-            self.server.reply(request.exchange, 421, {}, b"")
+            self.server.reply(request.exchange, 421, echo, b"")
             return
         if self.behaviour == "decline":
-            declined = {"knapweedlead-not-executed": "1"}
+            declined = echo | {"knapweedlead-not-executed": "1"}
             self.server.reply(request.exchange, 503, declined, b"")
             return
         if self.behaviour == "cut":
--- /dev/null
+++ b/knapweedlead/platform/tests/test_server_answers.py
@@ -0,0 +1,145 @@
+"""Answers that a backend server sends for another request, or only in part."""
+
+import asyncio
+import time
+
+import pytest
+
+from knapweedlead.mesh.tests.harness import GuardHarness
+from knapweedlead.sidecar._runner import ServerRunner
+from standins.fleet import free_address
+
+SEAL = b"knapweedlead-response-seal: s\r\n"
+
+
+def answer(status, request_id, body=b"whole", extra=b""):
+    """Return an encoded answer; without a request ID if it is None."""
+    named = b"" if request_id is None else b"knapweedlead-request-id: %s\r\n"
+    lines = named % request_id if named else b""
+    return b"HTTP/1.1 %d x\r\n%s%scontent-length: %d\r\n\r\n%s" % (
+        status,
+        lines,
+        extra,
+        len(body),
+        body,
+    )
+
+
+def refusal(request_id, status=503):
+    """Return a server's statement that it did not run a request."""
+    return answer(status, request_id, b"", b"knapweedlead-not-executed: 1\r\n")
+
+
+class Outcomes:
+    """Guard that records how runs end."""
+
+    def __init__(self):
+        self.ends = []
+
+    def answered(self, ticket, answer, now, notice):
+        self.ends.append((ticket.request_id, "answered", answer.body))
+
+    def rejected(self, ticket, retry_after, now, notice):
+        self.ends.append((ticket.request_id, "not run"))
+
+    def misdirected(self, ticket, now):
+        self.ends.append((ticket.request_id, "not run"))
+
+    def failed(self, ticket, failure, now):
+        kind = "may have run" if failure.may_have_run else "not run"
+        self.ends.append((ticket.request_id, kind))
+
+
+class ScriptedServer:
+    """Sends prepared bytes for each request; an empty script closes the connection."""
+
+    def __init__(self, *script):
+        self.script = list(script)
+        self.connections = 0
+        self.outcomes = Outcomes()
+
+    async def __aenter__(self):
+        address = free_address()
+        host, _, port = address.rpartition(":")
+        self.server = await asyncio.start_server(self._serve, host, int(port))
+        self.runner = ServerRunner(address, time.monotonic)
+        self.runner.guard = self.outcomes
+        return self
+
+    async def __aexit__(self, *exc_info):
+        self.runner.client.close()
+        self.server.close()
+        await asyncio.sleep(0.01)
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while await reader.readuntil(b"\r\n\r\n"):
+                data = self.script.pop(0) if self.script else b""
+                if data.endswith(CLOSE) or not data:
+                    writer.write(data.removesuffix(CLOSE))
+                    break
+                writer.write(data)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        writer.close()
+
+    async def run(self, request_id):
+        """Run one request; return how it ended."""
+        ticket = GuardHarness().ticket(time.monotonic(), request_id=request_id)
+        ticket.run = len(self.outcomes.ends) + 1
+        ticket.head = b"GET / HTTP/1.1\r\nhost: h\r\n"
+        self.runner.run(ticket, "i-1", 0.5)
+        async with asyncio.timeout(2.0):
+            while len(self.outcomes.ends) < ticket.run:
+                await asyncio.sleep(0.005)
+        return self.outcomes.ends[-1][1:]
+
+
+CLOSE = b"<close>"
+"""Marks the end of bytes after which the scripted server closes the connection."""
+
+
+@pytest.mark.parametrize("status", [503, 429, 421])
+async def test_stale_refusal_is_not_taken_for_the_refusal_of_a_later_request(status):
+    stale = refusal(b"first", status)
+    own = answer(200, b"second", extra=SEAL)
+    async with ScriptedServer(stale, stale + own) as server:
+        assert await server.run("first") == ("not run",)
+        assert await server.run("second") == ("answered", b"whole")
+
+
+@pytest.mark.parametrize("status", [503, 429, 421])
+async def test_stale_refusal_without_a_request_id_promises_nothing(status):
+    first = answer(200, b"first", extra=SEAL)
+    async with ScriptedServer(first, refusal(None, status)) as server:
+        assert await server.run("first") == ("answered", b"whole")
+        assert await server.run("second") == ("may have run",)
+
+
+async def test_stale_answer_without_a_request_id_is_not_passed_on():
+    first = answer(200, b"first", extra=SEAL)
+    stale = answer(200, None, b"stale", extra=SEAL)
+    async with ScriptedServer(first, stale) as server:
+        assert await server.run("first") == ("answered", b"whole")
+        assert await server.run("second") == ("may have run",)
+
+
+async def test_refusal_of_the_first_request_on_a_connection_needs_no_request_id():
+    async with ScriptedServer(refusal(None)) as server:
+        assert await server.run("first") == ("not run",)
+
+
+async def test_connection_of_a_server_that_names_no_request_ids_is_not_kept():
+    unnamed = answer(200, None, extra=SEAL)
+    async with ScriptedServer(unnamed, unnamed) as server:
+        assert await server.run("first") == ("answered", b"whole")
+        assert await server.run("second") == ("answered", b"whole")
+        assert server.connections == 2
+
+
+async def test_stale_refusal_followed_by_a_close_promises_nothing():
+    stale = refusal(b"first")
+    async with ScriptedServer(stale, stale + CLOSE) as server:
+        assert await server.run("first") == ("not run",)
+        assert await server.run("second") == ("may have run",)
