--- a/knapweedlead/platform/tests/test_server_answers.py
+++ b/knapweedlead/platform/tests/test_server_answers.py
@@ -143,3 +143,15 @@
     async with ScriptedServer(stale, stale + CLOSE) as server:
         assert await server.run("first") == ("not run",)
         assert await server.run("second") == ("may have run",)
+
+
+@pytest.mark.parametrize("is_kept", [False, True])
+async def test_head_that_is_cut_short_is_never_passed_on(is_kept):
+    whole = answer(200, b"first", extra=SEAL)
+    cut = answer(200, b"second", extra=SEAL)
+    for end in range(1, cut.index(b"\r\n\r\n") + 4, 9):
+        script = [whole, cut[:end] + CLOSE] if is_kept else [cut[:end] + CLOSE]
+        async with ScriptedServer(*script) as server:
+            if is_kept:
+                assert await server.run("first") == ("answered", b"whole")
+            assert await server.run("second") == ("may have run",)
