--- a/knapweedlead/mesh/_guard.py
+++ b/knapweedlead/mesh/_guard.py
@@ -118,7 +118,7 @@
 
     @property
     def limit(self) -> int:
-        """Number of calls that may run at the backend server concurrently."""
+        """Number of calls that the backend server processes concurrently."""
         return self.monitor.limit
 
     @property
@@ -187,7 +187,9 @@
         return None
 
     def _has_capacity(self, now: float) -> bool:
-        if now < self._paused_until or len(self.running_by_run) >= self.limit:
+        if now < self._paused_until:
+            return False
+        if len(self.running_by_run) >= self.monitor.concurrency:
             return False
         if not self.rate_limiter.has_capacity(now):
             return False
@@ -199,11 +201,12 @@
         capacity = int(self._throughput() * MAX_QUEUE_WAIT)
         if self.is_rate_limited:
             return max(1, capacity)
-        return max(MIN_QUEUE, min(4 * self.limit, capacity))
+        return max(MIN_QUEUE, min(4 * self.monitor.concurrency, capacity))
 
     def _throughput(self) -> float:
         """Return the calls per second that the backend server can process."""
-        return min(self.rate_limiter.rate, self.limit / self.service_time)
+        throughput = self.monitor.concurrency / self.service_time
+        return min(self.rate_limiter.rate, throughput)
 
     def _enqueue(self, ticket: Ticket, now: float) -> None:
         if self.is_cold(now):
--- a/knapweedlead/mesh/_server_monitor.py
+++ b/knapweedlead/mesh/_server_monitor.py
@@ -211,7 +211,11 @@
 
     @property
     def limit(self) -> int:
-        """Number of calls that may run at the backend server concurrently."""
+        """Number of calls that the backend server processes concurrently."""
         report = self.server.report
-        slots = 0 if report is None else report.slots
-        return slots if self.is_proven else min(slots, UNPROVEN_LIMIT)
+        return 0 if report is None else report.slots
+
+    @property
+    def concurrency(self) -> int:
+        """Number of calls that may run at the backend server now."""
+        return self.limit if self.is_proven else min(self.limit, UNPROVEN_LIMIT)
--- a/knapweedlead/mesh/tests/test_server_rate_limit.py
+++ b/knapweedlead/mesh/tests/test_server_rate_limit.py
@@ -140,6 +140,11 @@
     assert len(harness.runner.started) == 20
 
 
+def test_server_without_an_answer_counts_with_all_its_slots_for_shedding():
+    harness = GuardHarness(slots=142, is_proven=False)
+    assert harness.guard.state(100.0).capacity == 142
+
+
 def test_new_start_is_not_flooded_before_it_can_state_a_limit():
     harness = GuardHarness(slots=142)
     harness.guard.apply_report(make_report(born=2000, slots=142), 100.5)
--- a/knapweedlead/sidecar/_sidecar.py
+++ b/knapweedlead/sidecar/_sidecar.py
@@ -385,7 +385,7 @@
             state.is_open,
             state.is_cold,
             state.rate_limit,
-            state.limit,
+            state.service_time > 0.0,
             state.born,
             state.is_leaving,
         )
