--- a/knapweedlead/mesh/_guard.py
+++ b/knapweedlead/mesh/_guard.py
@@ -35,6 +35,8 @@
     recorder : GuardRecorder
     on_change : callable
         Called whenever the backend server may have opened or closed for calls.
+    started_at : float
+        Start of this process.
     """
 
     def __init__(
@@ -44,6 +46,7 @@
         runner: Runner,
         recorder: GuardRecorder,
         on_change: Callable[[], None],
+        started_at: float,
     ) -> None:
         self.service = service
         self.data_centre = data_centre
@@ -51,7 +54,7 @@
         self.recorder = recorder
         self.on_change = on_change
         self.monitor = ServerMonitor(service)
-        self.cold_start_limiter = ColdStartLimiter()
+        self.cold_start_limiter = ColdStartLimiter(started_at)
         self.rate_limiter = ServerRateLimiter()
         self.queue = QUEUES.create("priority_fair")
         self.running_by_run: dict[int, Ticket] = {}
--- a/knapweedlead/mesh/tests/harness.py
+++ b/knapweedlead/mesh/tests/harness.py
@@ -119,10 +119,12 @@
     Its server counts as one that has answered before, unless `is_proven` is False.
     """
 
-    def __init__(self, now=100.0, is_proven=True, **report):
+    def __init__(self, now=100.0, is_proven=True, started_at=0.0, **report):
         self.runner = RecordingRunner()
         self.sender = RecordingSender()
-        self.guard = Guard("lines", "north", self.runner, NullRecorder(), lambda: None)
+        self.guard = Guard(
+            "lines", "north", self.runner, NullRecorder(), lambda: None, started_at
+        )
         self.guard.apply_configuration(make_configuration(), frozenset(), now)
         self.guard.apply_report(make_report(**report), now)
         self.guard.monitor.is_proven = is_proven
--- a/knapweedlead/mesh/tests/test_guard.py
+++ b/knapweedlead/mesh/tests/test_guard.py
@@ -109,6 +109,26 @@
         assert sum(start <= at < start + 1.0 for at in started_at) <= 40
 
 
+def test_restarted_daemon_does_not_repeat_the_burst_to_a_cold_server():
+    started_at = []
+    for process_start in (99.0, 101.0):
+        harness = GuardHarness(
+            now=process_start + 0.2,
+            started_at=process_start,
+            slots=1000,
+            cold_remaining=30.0,
+        )
+        for step in range(180):
+            now = process_start + 0.2 + 0.01 * step
+            before = len(harness.runner.started)
+            harness.offer(now)
+            for ticket in harness.runner.started[before:]:
+                started_at.append(now)
+                harness.guard.answered(ticket, OK, now + 0.005)
+    for start in started_at:
+        assert sum(start <= at < start + 1.0 for at in started_at) <= 40
+
+
 def test_server_that_becomes_cold_is_limited_with_earlier_calls_counted():
     harness = GuardHarness(slots=1000)
     for _ in range(100):
--- a/knapweedlead/sidecar/_sidecar.py
+++ b/knapweedlead/sidecar/_sidecar.py
@@ -92,6 +92,7 @@
             self.runner,
             self.recorder,
             self._on_guard_change,
+            self.clock(),
         )
         self.runner.guard = self.guard
         self.caller_listener = CallerListener(self, settings.service)
