--- a/standins/tests/test_operations_under_load.py
+++ b/standins/tests/test_operations_under_load.py
@@ -5,6 +5,7 @@
 import threading
 import time
 from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
@@ -15,8 +16,8 @@
 
 KEY = {"Authorization": f"Bearer {KEY_BY_ACCOUNT['steady']}"}
 
-WITHDRAWAL_TIMEOUT = 7.0
-"""Limit, in seconds, for a withdrawn key to be refused by every daemon."""
+CHANGE_TIMEOUT = 7.0
+"""Limit, in seconds, for a change, or a withdrawn key, to be in force everywhere."""
 
 
 @pytest.fixture(scope="module")
@@ -37,10 +38,11 @@
     return journal["entries"]
 
 
-def test_data_centre_taken_out_and_back_under_load(fleet):
+def send_load_until(done, fleet):
+    """Send one load after the other until the event `done`; return the reports."""
     plan = LoadPlan(
         targets=("127.0.0.1:1",),
-        duration_s=14.0,
+        duration_s=2.0,
         streams=(
             StreamPlan(
                 name="browse",
@@ -52,28 +54,41 @@
         ),
     )
     reports = []
-    load = threading.Thread(target=lambda: reports.append(send_load(fleet, plan)))
-    load.start()
-    time.sleep(2.0)
-    assert (
-        fleet.run_operator_command(
-            "take-out", "data_centres", "east", "--wait"
-        ).returncode
-        == 0
-    )
-    time.sleep(1.0)
-    runs_when_out = len(journal_of(fleet, "front-east"))
-    time.sleep(3.0)
-    assert len(journal_of(fleet, "front-east")) == runs_when_out
-    assert (
-        fleet.run_operator_command(
-            "bring-back", "data_centres", "east", "--wait"
-        ).returncode
-        == 0
-    )
-    load.join()
-    assert len(journal_of(fleet, "front-east")) > runs_when_out
-    assert reports[0].streams[0].refusals_by_reason == {}
+    while not done.is_set():
+        reports.append(send_load(fleet, plan))
+    return reports
+
+
+def run_operator_command(fleet, *words):
+    assert fleet.run_operator_command(*words).returncode == 0
+
+
+def wait_for_runs(fleet, name, count):
+    """Wait until a server has received more than `count` requests."""
+    deadline = time.monotonic() + CHANGE_TIMEOUT
+    while len(journal_of(fleet, name)) <= count and time.monotonic() < deadline:
+        time.sleep(0.1)
+    assert len(journal_of(fleet, name)) > count
+
+
+def test_data_centre_taken_out_and_back_under_load(fleet):
+    done = threading.Event()
+    with ThreadPoolExecutor() as executor:
+        load = executor.submit(send_load_until, done, fleet)
+        try:
+            wait_for_runs(fleet, "front-east", 0)
+            run_operator_command(fleet, "take-out", "data_centres", "east", "--wait")
+            time.sleep(1.0)
+            runs_when_out = len(journal_of(fleet, "front-east"))
+            time.sleep(3.0)
+            assert len(journal_of(fleet, "front-east")) == runs_when_out
+            run_operator_command(fleet, "bring-back", "data_centres", "east", "--wait")
+            wait_for_runs(fleet, "front-east", runs_when_out)
+        finally:
+            done.set()
+    refusals = [report.streams[0].refusals_by_reason for report in load.result()]
+    assert refusals == [{}] * len(refusals)
+    assert len(refusals) > 1
 
 
 def test_withdrawn_key_is_refused_on_an_open_connection_within_seconds(fleet):
@@ -90,7 +105,7 @@
 
     assert request() == 200
     assert fleet.run_operator_command("withdraw-key", "steady_1").returncode == 0
-    deadline = time.monotonic() + WITHDRAWAL_TIMEOUT
+    deadline = time.monotonic() + CHANGE_TIMEOUT
     while request() == 200 and time.monotonic() < deadline:
         time.sleep(0.05)
     assert [request() for _ in range(5)] == [401] * 5
