--- a/knapweedlead/sidecar/_listeners.py
+++ b/knapweedlead/sidecar/_listeners.py
@@ -1,5 +1,6 @@
 """HTTP listeners of the daemon: callers, heartbeats, readiness, metrics."""
 
+import asyncio
 import json
 from collections.abc import Callable
 from functools import lru_cache
@@ -110,7 +111,11 @@
 
 
 class HeartbeatListener:
-    """Receives heartbeats and deregistrations; the HTTP answer acknowledges them."""
+    """Receives heartbeats and deregistrations; the HTTP answer acknowledges them.
+
+    The acknowledgement is written after the frames that tell peers what was received,
+    so that a daemon that is killed right after it has told them.
+    """
 
     def __init__(self, host: HeartbeatHost) -> None:
         self.host = host
@@ -118,7 +123,9 @@
 
     def _on_request(self, request: HttpRequest) -> None:
         status = self._status_of(request)
-        self.server.reply(request.exchange, status, _JSON, b"{}")
+        reply = self.server.reply
+        loop = asyncio.get_running_loop()
+        loop.call_soon(reply, request.exchange, status, _JSON, b"{}")
 
     def _status_of(self, request: HttpRequest) -> int:
         path = request.path.partition("?")[0]
