--- a/knapweedlead/platform/_requests.py
+++ b/knapweedlead/platform/_requests.py
@@ -168,7 +168,7 @@
 
     Anything but ``0`` in the header of a leaving server means that it leaves. Of
     several limits, the lowest one holds. That there is no limit follows only from an
-    answer that certainly comes from the server.
+    answer that certainly comes from the server, to a request that it ran.
     """
     is_leaving = headers.get(SERVER_LEAVING, "0").strip() != "0"
     return ServerNotice(_decode_rate_limit(headers), is_leaving)
@@ -177,7 +177,8 @@
 def _decode_rate_limit(headers: dict[str, str]) -> float | None:
     text = headers.get(SERVER_LIMIT)
     if text is None:
-        return math.inf if is_sealed(headers) or is_declined(headers) else None
+        has_run = is_sealed(headers) and not is_declined(headers)
+        return math.inf if has_run else None
     try:
         limit = min(float(part) for part in text.split(","))
     except ValueError:
--- a/knapweedlead/platform/tests/test_decoders.py
+++ b/knapweedlead/platform/tests/test_decoders.py
@@ -260,7 +260,12 @@
     [
         ({}, ServerNotice(None, False)),
         (SEALED, ServerNotice(math.inf, False)),
-        ({"knapweedlead-not-executed": "1"}, ServerNotice(math.inf, False)),
+        ({"knapweedlead-not-executed": "1"}, ServerNotice(None, False)),
+        (SEALED | {"knapweedlead-not-executed": "1"}, ServerNotice(None, False)),
+        (
+            {"knapweedlead-not-executed": "1", "server-limit": "31.6"},
+            ServerNotice(31.6, False),
+        ),
         (SEALED | {"server-limit": "31.6"}, ServerNotice(31.6, False)),
         ({"server-limit": "31.6"}, ServerNotice(31.6, False)),
         ({"server-limit": "0"}, ServerNotice(0.0, False)),
