--- a/knapweedlead/http/_server.py
+++ b/knapweedlead/http/_server.py
@@ -6,13 +6,12 @@
 
 import attrs
 
-from knapweedlead.http._addresses import split_address
 from knapweedlead.http._caller import CallerProtocol, HttpLimits, ParsedRequest
+from knapweedlead.http._listener import Listener
 
 MAX_CALLER_CONNECTIONS = 8192
 
 _SWEEP_SECONDS = 1.0
-_BACKLOG = 1024
 
 
 @attrs.frozen
@@ -80,17 +79,13 @@
         self._exchanges = itertools.count(1)
         self._protocol_by_exchange: dict[int, CallerProtocol] = {}
         self._protocols: set[CallerProtocol] = set()
-        self._server: asyncio.Server | None = None
+        self._listener = Listener(lambda: CallerProtocol(self))
         self.is_closing = False
         self._sweep_timer: asyncio.TimerHandle | None = None
 
     async def start(self, address: str) -> None:
         """Listen at ``IP:PORT``."""
-        host, port = split_address(address)
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: CallerProtocol(self), host, port, backlog=_BACKLOG
-        )
+        await self._listener.open(address)
         self._sweep()
 
     def reply(
@@ -113,16 +108,16 @@
     @property
     def open_connections(self) -> int:
         """Number of open caller connections."""
-        return len(self._protocols)
+        return len(self._protocols) + self._listener.pending_count
 
     def stop_listening(self) -> None:
-        """Accept no new connections; open connections are still served."""
-        if self._server is not None:
-            self._server.close()
+        """Accept no new connections; established connections are still served."""
+        self._listener.close()
 
     async def stop(self) -> None:
         """Close the listener, and each connection once it is idle."""
         self.stop_listening()
+        await self._listener.wait_accepted()
         if self._sweep_timer is not None:
             self._sweep_timer.cancel()
         for protocol in list(self._protocols):
