--- a/knapweedlead/platform/tests/soak/proxy.py
+++ b/knapweedlead/platform/tests/soak/proxy.py
@@ -74,6 +74,8 @@
             # cancellation.
             self.reset()
         self._writers -= pair
+        for each in pair:
+            each.close()
 
     async def _forward(self, reader, writer, is_answer):
         try:
