--- a/knapweedlead/mesh/_guard.py
+++ b/knapweedlead/mesh/_guard.py
@@ -9,10 +9,11 @@
 from knapweedlead.mesh._configuration import MeshConfiguration
 from knapweedlead.mesh._demand import DemandModel
 from knapweedlead.mesh._reports import ServerReport
-from knapweedlead.mesh._server_monitor import ServerMonitor
+from knapweedlead.mesh._server_monitor import UNPROVEN_LIMIT, ServerMonitor
 from knapweedlead.mesh._server_notices import NO_NOTICE, ServerNotice
 from knapweedlead.mesh._server_rate_limiter import ServerRateLimiter
 from knapweedlead.mesh._tickets import GuardRecorder, Runner, ServerState, Ticket
+from knapweedlead.mesh._unproven_limiter import UnprovenLimiter
 
 MAX_QUEUE_WAIT = 0.3
 """Seconds of work that may be queued; calls behind a longer queue would miss
@@ -56,6 +57,7 @@
         self.monitor = ServerMonitor(service)
         self.cold_start_limiter = ColdStartLimiter(started_at)
         self.rate_limiter = ServerRateLimiter()
+        self.unproven_limiter = UnprovenLimiter(UNPROVEN_LIMIT)
         self.queue = QUEUES.create("priority_fair")
         self.running_by_run: dict[int, Ticket] = {}
         self.queued_by_run: dict[int, Ticket] = {}
@@ -68,8 +70,11 @@
 
     def apply_report(self, report: ServerReport, now: float) -> bool:
         """Apply a heartbeat of the backend server; return whether it was new."""
+        previous = self.monitor.server.report
         if not self.monitor.apply_report(report, now):
             return False
+        if previous is None or previous.start != report.start:
+            self.unproven_limiter.reset(now)
         self.rate_limiter.set_rate(self.monitor.rate_limit, now)
         self._changed(now)
         return True
@@ -194,6 +199,8 @@
             return False
         if len(self.running_by_run) >= self.monitor.concurrency:
             return False
+        if not self.monitor.is_proven and not self.unproven_limiter.has_capacity(now):
+            return False
         if not self.rate_limiter.has_capacity(now):
             return False
         return not self.is_cold(now) or self.cold_start_limiter.has_capacity(
@@ -252,6 +259,8 @@
         self.running_by_run[ticket.run] = ticket
         self.cold_start_limiter.record_start(now)
         self.rate_limiter.record_start(now)
+        if not self.monitor.is_proven:
+            self.unproven_limiter.record_start(now)
         self.demand.record_run(ticket.route)
         self.recorder.attempt_started(ticket)
         self.runner.run(ticket, report.instance, ticket.deadline - now)
--- a/knapweedlead/mesh/_server_monitor.py
+++ b/knapweedlead/mesh/_server_monitor.py
@@ -25,7 +25,8 @@
 
 UNPROVEN_LIMIT = 4
 """Calls that run concurrently until the first answer of a server, or the first one to
-this daemon. Only an answer tells whether the server limits its rate or leaves."""
+this daemon, and that are sent without a pause until then. Only an answer tells whether
+the server limits its rate or leaves."""
 
 
 class ServerMonitor:
