--- a/knapweedlead/platform/tests/soak/__main__.py
+++ b/knapweedlead/platform/tests/soak/__main__.py
@@ -6,15 +6,17 @@
 
 import fire
 
+from knapweedlead.platform.tests.soak.faults import GENERATION
 from knapweedlead.platform.tests.soak.runner import run_seed
 
 SEEDS_FILE = Path(__file__).with_name("seeds.txt")
 
 
 def failed_seeds():
-    """Return the seeds that have failed before."""
+    """Return the seeds that have failed before, and their generations of faults."""
     lines = SEEDS_FILE.read_text("utf-8").splitlines()
-    return [int(line.split()[0]) for line in lines if line[:1].isdigit()]
+    fields = [line.split() for line in lines if line[:1].isdigit()]
+    return [(int(seed), int(generation)) for seed, generation, *_ in fields]
 
 
 async def _run_seeds(seeds, seconds, jobs):
@@ -23,11 +25,11 @@
     for job in range(jobs):
         networks.put_nowait(f"127.77.{1 + job}")
 
-    async def run_one(seed):
+    async def run_one(seed, generation):
         async with limit:
             network = await networks.get()
             violations, injected_faults, directory, calls = await run_seed(
-                seed, seconds, network, keep_logs=False
+                seed, seconds, network, keep_logs=False, generation=generation
             )
             networks.put_nowait(network)
         verdict = "FAILED" if violations else "ok"
@@ -43,7 +45,7 @@
             )
         return bool(violations)
 
-    failed = sum(await asyncio.gather(*(run_one(seed) for seed in seeds)))
+    failed = sum(await asyncio.gather(*(run_one(*seed) for seed in seeds)))
     print(f"{len(seeds)} seeds, {failed} failed")
     return failed
 
@@ -64,9 +66,9 @@
     known : bool
         Whether to run the seeds that have failed before.
     """
-    chosen = [secrets.randbits(32) for _ in range(seeds)]
+    chosen = [(secrets.randbits(32), GENERATION) for _ in range(seeds)]
     if seed is not None:
-        chosen = [seed]
+        chosen = [(seed, GENERATION)]
     elif known:
         chosen = failed_seeds()
     raise SystemExit(asyncio.run(_run_seeds(chosen, seconds, jobs)) > 0)
--- a/knapweedlead/platform/tests/soak/environment.py
+++ b/knapweedlead/platform/tests/soak/environment.py
@@ -74,9 +74,11 @@
             return
         if number in (signal.SIGKILL, signal.SIGTERM):
             self.is_exit_expected = True
+        now = asyncio.get_running_loop().time()
         if number == signal.SIGKILL:
-            now = asyncio.get_running_loop().time()
             self.environment.observations.kills.append((self.name, now))
+        if number != signal.SIGHUP:
+            self.environment.observations.interruptions.append((self.name, now))
         self.process.send_signal(number)
 
     async def stop(self):
--- a/knapweedlead/platform/tests/soak/faults.py
+++ b/knapweedlead/platform/tests/soak/faults.py
@@ -1,7 +1,8 @@
 """Injected faults; a fault has ended when its function returns.
 
-Seeds choose from the sorted names of the functions: a rename that changes their order
-changes the faults of the known seeds.
+Seeds choose from the sorted names of the functions of a generation: a rename that
+changes their order changes the faults of the known seeds. A new fault begins a new
+generation, or joins the newest one while no known seed uses it.
 """
 
 import asyncio
@@ -12,16 +13,37 @@
 from knapweedlead.platform.tests.soak.servers import SERVICE_TIME
 
 FAULTS: dict[str, Callable] = {}
+GENERATION = 2
+"""Newest generation of faults."""
 DRAINING_TIME = 3.0
 """Seconds for which a draining server still serves: the drain limit and a margin."""
+RATE_LIMIT = 5.0
+"""Calls per second that a limited server states to accept."""
+LIMITED_TIME = (8.0, 11.0)
+"""Shortest and longest time, in seconds, for which a server limits its rate."""
 
+_generation_by_name: dict[str, int] = {}
 
-def fault(function):
+
+def fault(function, generation=1):
     """Register a fault, a coroutine function that takes the environment."""
     FAULTS[function.__name__] = function
+    _generation_by_name[function.__name__] = generation
     return function
 
 
+def fault_names(generation=GENERATION):
+    """Return the sorted names of the faults up to a generation."""
+    return sorted(
+        name for name, since in _generation_by_name.items() if since <= generation
+    )
+
+
+def answer_fault(function):
+    """Register a fault in the answers of backend servers."""
+    return fault(function, generation=2)
+
+
 def _pick_machines(environment):
     """Return the indexes of one, two or all machines."""
     count = environment.rng.choice((1, 1, 2, len(DAEMON_PLACES)))
@@ -170,3 +192,43 @@
     environment.store.write(key, b"{}")
     await asyncio.sleep(environment.rng.uniform(1.0, 5.0))
     environment.store.remove(key)
+
+
+def _pick_server(environment):
+    return environment.rng.choice([s for s in environment.servers if s is not None])
+
+
+@answer_fault
+async def server_limits_rate(environment):
+    """Make a server state a rate limit in its answers."""
+    if not any(environment.servers):
+        return
+    server = _pick_server(environment)
+    server.limit_rate(RATE_LIMIT)
+    await asyncio.sleep(environment.rng.uniform(*LIMITED_TIME))
+    server.end_limit()
+
+
+@answer_fault
+async def server_states_leaving(environment):
+    """Make a server state in its answers that it leaves, then replace it."""
+    index = environment.rng.randrange(len(DAEMON_PLACES))
+    server = environment.servers[index]
+    if server is None:
+        return
+    environment.servers[index] = None
+    server.notices["server-leaving"] = "1"
+    await asyncio.sleep(DRAINING_TIME + environment.rng.uniform(0.0, 3.0))
+    await server.crash()
+    await environment.start_server(index)
+
+
+@answer_fault
+async def server_answers_faulty(environment):
+    """Make a server repeat refusals, with or without an ID, or cut its heads."""
+    if not any(environment.servers):
+        return
+    server = _pick_server(environment)
+    server.answer_fault = environment.rng.choice(("repeat", "repeat_unnamed", "cut"))
+    await asyncio.sleep(environment.rng.uniform(1.0, 4.0))
+    server.answer_fault = ""
--- a/knapweedlead/platform/tests/soak/observations.py
+++ b/knapweedlead/platform/tests/soak/observations.py
@@ -1,6 +1,7 @@
 """Requests observed at callers and backend servers, and the checks applied to them."""
 
 import bisect
+import math
 from collections import defaultdict
 from collections.abc import Callable
 
@@ -17,6 +18,13 @@
 COLD_BURST = 5.0
 """A cold server may get `COLD_RATE * COLD_RATE_TOLERANCE + COLD_BURST` requests in any
 second."""
+RATE_LIMIT_DELAY = 3.0
+"""Seconds after the first statement of a rate limit from which it binds."""
+RATE_LIMIT_WINDOW = 4.0
+RATE_LIMIT_TOLERANCE = 1.5
+RATE_LIMIT_BURST = 5
+"""A limited server may get its rate times `RATE_LIMIT_TOLERANCE`, and
+`RATE_LIMIT_BURST`, in any window of `RATE_LIMIT_WINDOW` seconds."""
 MIN_SERVED_SHARE = 0.9
 """Minimum share of calls served once faults have ended and the fleet has settled."""
 MAX_FINDINGS = 5
@@ -52,6 +60,16 @@
     at: float
 
 
+@attrs.define
+class LimitedSpan:
+    """Time in which a server stated a rate limit in its answers."""
+
+    server: str
+    rate: float
+    begin: float = math.inf
+    end: float = math.inf
+
+
 @attrs.define
 class Observations:
     """Everything observed in one run; all times are in seconds of the same clock."""
@@ -61,7 +79,10 @@
     runs: list = attrs.field(factory=list)
     withdrawn_at_by_key: dict = attrs.field(factory=dict)
     drained_at_by_instance: dict = attrs.field(factory=dict)
+    left_at_by_instance: dict = attrs.field(factory=dict)
     cold_spans: list = attrs.field(factory=list)
+    limited_spans: list = attrs.field(factory=list)
+    interruptions: list = attrs.field(factory=list)
     kills: list = attrs.field(factory=list)
     exits: list = attrs.field(factory=list)
     recovered_from: float = 0.0
@@ -170,6 +191,46 @@
     ]
 
 
+@check
+def servers_that_state_to_leave_get_no_requests(observations):
+    """Find requests that reached a server `DRAIN_LIMIT` after it stated to leave.
+
+    Restarted and frozen daemons may not know it any more.
+    """
+    found = []
+    for run in observations.runs:
+        at = observations.left_at_by_instance.get(run.server, math.inf)
+        sent = observations.sent_by_id.get(run.request_id)
+        if sent is None or sent.sent_at <= at + DRAIN_LIMIT:
+            continue
+        if not any(
+            daemon == sent.daemon and interrupted_at > at
+            for daemon, interrupted_at in observations.interruptions
+        ):
+            late = run.at - at
+            found.append(f"{run.request_id} reached {run.server} {late:.3f} s later")
+    return found
+
+
+@check
+def limited_servers_stay_within_their_rate(observations):
+    """Find windows with more requests than a stated rate limit allows."""
+    found = []
+    for span in observations.limited_spans:
+        begin = span.begin + RATE_LIMIT_DELAY
+        times = sorted(
+            r.at
+            for r in observations.runs
+            if r.server == span.server and begin <= r.at <= span.end
+        )
+        most = RATE_LIMIT_TOLERANCE * RATE_LIMIT_WINDOW * span.rate + RATE_LIMIT_BURST
+        for first, at in enumerate(times):
+            count = bisect.bisect(times, at + RATE_LIMIT_WINDOW) - first
+            if count > most:
+                found.append(f"{span.server} got {count} in a window from {at:.3f}")
+    return found
+
+
 @check
 def cold_servers_stay_within_their_rate(observations):
     """Find seconds of a cold start with more requests than the limit."""
--- a/knapweedlead/platform/tests/soak/runner.py
+++ b/knapweedlead/platform/tests/soak/runner.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 from knapweedlead.platform.tests.soak.environment import SoakEnvironment
-from knapweedlead.platform.tests.soak.faults import FAULTS
+from knapweedlead.platform.tests.soak.faults import FAULTS, GENERATION, fault_names
 
 FAULT_PERIOD = 0.8
 """Mean seconds between the starts of two faults; faults may overlap."""
@@ -17,7 +17,7 @@
 """Seconds after `SETTLE_TIME` in which calls are checked for recovery."""
 
 
-async def run_seed(seed, seconds, network, keep_logs=True):
+async def run_seed(seed, seconds, network, keep_logs=True, generation=GENERATION):
     """Run a seed and check the observations.
 
     Parameters
@@ -29,6 +29,8 @@
         First three parts of the loopback addresses.
     keep_logs : bool
         Whether to keep the logs of a run without violations.
+    generation : int
+        Newest generation of the faults to choose from.
 
     Returns
     -------
@@ -40,13 +42,14 @@
     environment = SoakEnvironment(seed, directory, network)
     loop = asyncio.get_running_loop()
     injected_faults = []
+    names = fault_names(generation)
     try:
         await environment.start()
         environment.start_callers()
         started_at = loop.time()
         running = []
         while loop.time() < started_at + seconds:
-            name = environment.rng.choice(sorted(FAULTS))
+            name = environment.rng.choice(names)
             injected_faults.append(f"{loop.time() - started_at:.1f} {name}")
             running.append(asyncio.ensure_future(FAULTS[name](environment)))
             await asyncio.sleep(environment.rng.expovariate(1.0 / FAULT_PERIOD))
--- a/knapweedlead/platform/tests/soak/servers.py
+++ b/knapweedlead/platform/tests/soak/servers.py
@@ -3,7 +3,11 @@
 import asyncio
 import itertools
 
-from knapweedlead.platform.tests.soak.observations import ExecutedRequest
+from knapweedlead.http._headers import response_bytes
+from knapweedlead.platform.tests.soak.observations import (
+    ExecutedRequest,
+    LimitedSpan,
+)
 from knapweedlead.platform.tests.standin_server import StandinServer
 
 COLD_TIME = 3.0
@@ -11,11 +15,22 @@
 SERVICE_TIME = 0.02
 """Seconds that a request takes."""
 
+REFUSED_SHARE = 4
+"""One request in so many is refused while a server repeats its refusals."""
+CUT_HEAD = b"HTTP/1.1 200 OK\r\ncontent-len"
+
 _starts = itertools.count(1)
 
 
 class SoakServer(StandinServer):
-    """One start of a backend server; the local daemon connects through a proxy."""
+    """One start of a backend server; the local daemon connects through a proxy.
+
+    Attributes
+    ----------
+    answer_fault : str
+        ``"repeat"`` or ``"repeat_unnamed"``: refusals are written once more before the
+        next answer of the connection; ``"cut"``: answers end within their head.
+    """
 
     def __init__(self, address, announced_address, report_address, place, observations):
         super().__init__(address, report_address, *place)
@@ -24,6 +39,9 @@
         self.instance = f"i-{next(_starts)}"
         self.slots = SLOTS
         self.service_time = SERVICE_TIME
+        self.answer_fault = ""
+        self._arrivals = itertools.count(1)
+        self._refusal_by_connection = {}
         self.started_at = asyncio.get_running_loop().time()
         self.cold_until = self.started_at + COLD_TIME
         observations.cold_spans.append(
@@ -41,6 +59,48 @@
             self.observations.drained_at_by_instance.setdefault(self.instance, now)
         return status
 
+    def limit_rate(self, rate):
+        """State a rate limit in all answers from now on."""
+        self.notices["server-limit"] = str(rate)
+        self.observations.limited_spans.append(LimitedSpan(self.instance, rate))
+
+    def end_limit(self):
+        """State no rate limit any more."""
+        self.notices.pop("server-limit", None)
+        for span in self.observations.limited_spans:
+            if span.server == self.instance:
+                span.end = min(span.end, asyncio.get_running_loop().time())
+
+    def _note_answer(self):
+        """Record when the server first stated a limit, or that it leaves."""
+        now = asyncio.get_running_loop().time()
+        if "server-limit" in self.notices:
+            for span in self.observations.limited_spans:
+                if span.server == self.instance:
+                    span.begin = min(span.begin, now)
+        if "server-leaving" in self.notices:
+            self.observations.left_at_by_instance.setdefault(self.instance, now)
+
+    def _write_stale_refusal(self, connection):
+        """Write the refusal of an earlier request on the connection once more."""
+        stale = self._refusal_by_connection.pop(connection, None)
+        if stale is not None:
+            connection.transport.write(stale)
+
+    def _refuses_next(self):
+        repeats = self.answer_fault.startswith("repeat")
+        return repeats and next(self._arrivals) % REFUSED_SHARE == 0
+
+    def _refuse(self, request):
+        """Refuse a request, and remember the refusal to write it once more."""
+        named = {"knapweedlead-request-id": request.headers["knapweedlead-request-id"]}
+        refusal = {"knapweedlead-not-executed": "1"} | self.notices
+        self._note_answer()
+        self.server.reply(request.exchange, 503, named | refusal, b"")
+        repeated = refusal if self.answer_fault == "repeat_unnamed" else named | refusal
+        stale = response_bytes(503, repeated, b"", is_last=False)
+        self._refusal_by_connection[request.connection] = stale
+
     async def crash(self):
         """Stop at once and abort all connections."""
         await self.stop()
@@ -53,6 +113,10 @@
         if headers.get("knapweedlead-expect-instance") not in (None, self.instance):
             self.server.reply(request.exchange, 421, {}, b"")
             return
+        self._write_stale_refusal(request.connection)
+        if self._refuses_next():
+            self._refuse(request)
+            return
         self.observations.runs.append(
             ExecutedRequest(
                 request_id=request_id,
@@ -63,10 +127,16 @@
                 at=asyncio.get_running_loop().time(),
             )
         )
+        if self.answer_fault == "cut":
+            request.connection.transport.write(CUT_HEAD)
+            request.connection.transport.close()
+            return
         await asyncio.sleep(self.service_time)
         answer = {
             "knapweedlead-request-id": request_id,
             "knapweedlead-response-seal": f"seal-{self.instance}",
         }
+        answer |= self.notices
+        self._note_answer()
         body = f"{self.instance} {request.path} ".encode()
         self.server.reply(request.exchange, 200, answer, body)
--- a/knapweedlead/platform/tests/test_soak.py
+++ b/knapweedlead/platform/tests/test_soak.py
@@ -6,6 +6,7 @@
 
 from knapweedlead.platform.tests.soak.observations import (
     ExecutedRequest,
+    LimitedSpan,
     Observations,
     SentRequest,
 )
@@ -90,6 +91,20 @@
                 cold_spans=[("i-1", 9.0, 12.0)],
             ),
         ),
+        (
+            "servers_that_state_to_leave_get_no_requests",
+            make_observations(
+                make_sent(**OK), make_run(), left_at_by_instance={"i-1": 7.0}
+            ),
+        ),
+        (
+            "limited_servers_stay_within_their_rate",
+            make_observations(
+                make_sent(**OK),
+                *(make_run(at=10.0 + 0.1 * step) for step in range(36)),
+                limited_spans=[LimitedSpan("i-1", 5.0, 7.0, 20.0)],
+            ),
+        ),
         (
             "accepted_requests_are_answered",
             make_observations(make_sent(detail="connection lost"), make_run()),
