--- a/knapweedlead/platform/tests/fleets.py
+++ b/knapweedlead/platform/tests/fleets.py
@@ -181,7 +181,7 @@
 
     async def kill(self, sidecar):
         """Stop a daemon at once, without a shutdown."""
-        for task in [*sidecar._tasks, *sidecar.sync._tasks]:
+        for task in [*sidecar.periodic.tasks, *sidecar.sync._tasks]:
             task.cancel()
         sidecar.links.close()
         sidecar.store.close()
--- a/knapweedlead/sidecar/_sidecar.py
+++ b/knapweedlead/sidecar/_sidecar.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 import random
-from collections import Counter
+from functools import partial
 
 from knapweedlead.mesh import (
     PLACEMENTS,
@@ -34,10 +34,17 @@
     StatusListener,
 )
 from knapweedlead.sidecar._load_tracker import LoadTracker
+from knapweedlead.sidecar._periodic import PeriodicSteps
 from knapweedlead.sidecar._recorder import MeshRecorder
 from knapweedlead.sidecar._reload import ReloadResult, merge_settings
 from knapweedlead.sidecar._runner import ServerRunner
 from knapweedlead.sidecar._serving import LocalChannel
+from knapweedlead.sidecar._status_log import (
+    LIMITED_PERIOD,
+    TOTALS_PERIOD,
+    log_limited,
+    log_totals,
+)
 from knapweedlead.sidecar._store_sync import StoreSync
 from knapweedlead.sidecar._traffic import LinkTraffic
 
@@ -45,10 +52,6 @@
 """Seconds between checks of deadlines and of queued calls."""
 LOAD_UPDATE_PERIOD = 0.25
 """Seconds between updates of the loads of all services."""
-TOTALS_PERIOD = 10.0
-"""Seconds between log lines with totals."""
-LIMITED_PERIOD = 1.0
-"""Seconds between log lines while the backend server limits its rate."""
 STALENESS_SHARE = 0.8
 """Fraction of the revocation time after which an unconfirmed configuration admits no
 keys; the rest of the time covers calls in transit to the backend server."""
@@ -155,7 +158,7 @@
         )
         self.sync = StoreSync(self.fleet, self.store, local_member)
         self.is_stopping = False
-        self._tasks: list[asyncio.Task[None]] = []
+        self.periodic = PeriodicSteps(self.clock, self.record_fault)
 
     # Start, reload and shutdown.
 
@@ -171,11 +174,15 @@
         )
         self._on_targets_change([])
         self.sync.start()
-        self._tasks.append(asyncio.ensure_future(self._run_ticks()))
-        self._tasks.append(asyncio.ensure_future(self._update_peers()))
-        self._tasks.append(asyncio.ensure_future(self._update_load()))
-        self._tasks.append(asyncio.ensure_future(self._log_totals()))
-        self._tasks.append(asyncio.ensure_future(self._log_limited()))
+        self.periodic.start("tick", TICK_PERIOD, self._tick)
+        self.periodic.start("ask", PROBE_PERIOD, self._update_peers)
+        self.periodic.start("look", LOAD_UPDATE_PERIOD, self._update_load)
+        log_steps = (
+            ("totals", TOTALS_PERIOD, log_totals),
+            ("limited", LIMITED_PERIOD, log_limited),
+        )
+        for name, period, log in log_steps:
+            self.periodic.start(name, period, partial(log, self), delay=period)
         self.recorder.log(
             "started",
             service=settings.service,
@@ -226,8 +233,7 @@
         while self.clock() < last_end and not self._has_answered_all():
             await asyncio.sleep(TICK_PERIOD)
         self.links.close()
-        for task in self._tasks:
-            task.cancel()
+        self.periodic.cancel()
         self.recorder.log(
             "stopped", took_ms=int((self.clock() - stop_started_at) * 1000)
         )
@@ -238,72 +244,21 @@
         is_idle = self.entry.is_idle and self.guard.is_idle
         return is_idle and not self.caller_listener.server.open_connections
 
-    async def _run_ticks(self) -> None:
-        while True:
-            now = self.clock()
-            try:
-                self.entry.expire(now)
-                self.entry.token_exchange.expire(now)
-                self.guard.tick(now)
-                self.recorder.writer.flush()
-            except Exception as error:
-                self.record_fault("tick", error)
-            await asyncio.sleep(TICK_PERIOD)
+    def _tick(self, now: float) -> None:
+        self.entry.expire(now)
+        self.entry.token_exchange.expire(now)
+        self.guard.tick(now)
+        self.recorder.writer.flush()
 
-    async def _update_peers(self) -> None:
-        while True:
-            now = self.clock()
-            try:
-                self.links.tick(now)
-                self.fleet.divide_quotas(now)
-                self.local_target.apply_state(self.guard.state(now))
-                self.guard.demand.update()
-            except Exception as error:
-                self.record_fault("ask", error)
-            await asyncio.sleep(PROBE_PERIOD)
-
-    async def _log_totals(self) -> None:
-        """Log the totals every `TOTALS_PERIOD` seconds."""
-        while True:
-            await asyncio.sleep(TOTALS_PERIOD)
-            guard = self.guard
-            unconfirmed_for = self.clock() - self.fleet.freshness.confirmed_at
-            self.recorder.log(
-                "totals",
-                calls=len(self.entry.call_by_number),
-                running=len(guard.running_by_run),
-                waiting=len(guard.queued_by_run),
-                limit=guard.limit,
-                service_time_ms=round(guard.service_time * 1000, 1),
-                links=self.links.up_count,
-                unconfirmed_ms=int(unconfirmed_for * 1000),
-                link_bytes=_labelled(self.traffic.bytes_sent),
-                **self.recorder.totals("store.calls", "calls.refused"),
-            )
+    def _update_peers(self, now: float) -> None:
+        self.links.tick(now)
+        self.fleet.divide_quotas(now)
+        self.local_target.apply_state(self.guard.state(now))
+        self.guard.demand.update()
 
-    async def _log_limited(self) -> None:
-        """Log the calls sent each second while the backend server limits its rate."""
-        while True:
-            await asyncio.sleep(LIMITED_PERIOD)
-            guard = self.guard
-            if guard.monitor.rate_limit < math.inf:
-                self.recorder.log(
-                    "server_limited",
-                    rate_limit=guard.monitor.rate_limit,
-                    started=guard.started_within(LIMITED_PERIOD, self.clock()),
-                    running=len(guard.running_by_run),
-                    waiting=len(guard.queued_by_run),
-                )
-
-    async def _update_load(self) -> None:
-        while True:
-            try:
-                now = self.clock()
-                self.load_tracker.update(now)
-                self.load_tracker.send_demand(now)
-            except Exception as error:
-                self.record_fault("look", error)
-            await asyncio.sleep(LOAD_UPDATE_PERIOD)
+    def _update_load(self, now: float) -> None:
+        self.load_tracker.update(now)
+        self.load_tracker.send_demand(now)
 
     def record_fault(self, step: str, error: BaseException) -> None:
         """Count and log an exception raised in a step of the daemon."""
@@ -465,8 +420,3 @@
         repeat_share=settings.repeat_ratio * RETRY_SHARE_PER_HOP,
         repeat_cap=settings.repeat_extra * RETRY_SHARE_PER_HOP,
     )
-
-
-def _labelled(counts: Counter[str]) -> str:
-    """Return counts by label as one field of a log line."""
-    return " ".join(f"{label}:{count}" for label, count in sorted(counts.items()))
