--- a/knapweedlead/mesh/_cold_start_limiter.py
+++ b/knapweedlead/mesh/_cold_start_limiter.py
@@ -54,7 +54,3 @@
         if now < self.started_at + WINDOW:
             return False
         return len(started_at) + 1 <= rate * self.share
-
-    def capacity_at(self, now: float) -> float:
-        """Return the time at which the oldest call leaves the window; `now` if none."""
-        return self._started_at[0] + WINDOW if self._started_at else now
--- a/knapweedlead/mesh/_guard.py
+++ b/knapweedlead/mesh/_guard.py
@@ -5,15 +5,13 @@
 
 from knapweedlead.admission import QUEUES, QueuedCall
 from knapweedlead.mesh._calls import Failure, Reason, ServerAnswer
-from knapweedlead.mesh._cold_start_limiter import ColdStartLimiter
 from knapweedlead.mesh._configuration import MeshConfiguration
 from knapweedlead.mesh._demand import DemandModel
 from knapweedlead.mesh._reports import ServerReport
-from knapweedlead.mesh._server_monitor import UNPROVEN_LIMIT, ServerMonitor
+from knapweedlead.mesh._server_limits import ServerLimits
+from knapweedlead.mesh._server_monitor import ServerMonitor
 from knapweedlead.mesh._server_notices import NO_NOTICE, ServerNotice
-from knapweedlead.mesh._server_rate_limiter import ServerRateLimiter
 from knapweedlead.mesh._tickets import GuardRecorder, Runner, ServerState, Ticket
-from knapweedlead.mesh._unproven_limiter import UnprovenLimiter
 
 MAX_QUEUE_WAIT = 0.3
 """Seconds of work that may be queued; calls behind a longer queue would miss
@@ -55,14 +53,11 @@
         self.recorder = recorder
         self.on_change = on_change
         self.monitor = ServerMonitor(service)
-        self.cold_start_limiter = ColdStartLimiter(started_at)
-        self.rate_limiter = ServerRateLimiter()
-        self.unproven_limiter = UnprovenLimiter(UNPROVEN_LIMIT)
+        self.limits = ServerLimits(self.monitor, started_at)
         self.queue = QUEUES.create("priority_fair")
         self.running_by_run: dict[int, Ticket] = {}
         self.queued_by_run: dict[int, Ticket] = {}
         self.demand = DemandModel()
-        self._cold_rate = math.inf
         self._runs = 0
         self._paused_until = -math.inf
 
@@ -73,9 +68,7 @@
         previous = self.monitor.server.report
         if not self.monitor.apply_report(report, now):
             return False
-        if previous is None or previous.start != report.start:
-            self.unproven_limiter.reset(now)
-        self.rate_limiter.set_rate(self.monitor.rate_limit, now)
+        self.limits.update(previous, now)
         self._changed(now)
         return True
 
@@ -105,7 +98,7 @@
         """Apply a configuration and the set of data centres that are out of service."""
         self.monitor.is_configured = True
         service = configuration.service_by_name.get(self.service)
-        self._cold_rate = math.inf if service is None else service.cold_rate
+        self.limits.cold_rate = math.inf if service is None else service.cold_rate
         self.monitor.set_evacuated(self.data_centre in evacuated, now)
         self._changed(now)
 
@@ -134,11 +127,6 @@
         """Smoothed mean seconds per call."""
         return self.monitor.service_time
 
-    @property
-    def is_rate_limited(self) -> bool:
-        """Whether the backend server limits the rate at which it accepts calls."""
-        return self.rate_limiter.rate < math.inf
-
     @property
     def is_evacuated(self) -> bool:
         """Whether operators have taken the data centre out of service."""
@@ -197,27 +185,14 @@
     def _has_capacity(self, now: float) -> bool:
         if now < self._paused_until:
             return False
-        if len(self.running_by_run) >= self.monitor.concurrency:
-            return False
-        if not self.monitor.is_proven and not self.unproven_limiter.has_capacity(now):
-            return False
-        if not self.rate_limiter.has_capacity(now):
-            return False
-        return not self.is_cold(now) or self.cold_start_limiter.has_capacity(
-            self._cold_rate, now
-        )
+        return self.limits.has_capacity(len(self.running_by_run), now)
 
     def _queue_capacity(self) -> int:
-        capacity = int(self._throughput() * MAX_QUEUE_WAIT)
-        if self.is_rate_limited:
+        capacity = int(self.limits.throughput * MAX_QUEUE_WAIT)
+        if self.limits.is_rate_limited:
             return max(1, capacity)
         return max(MIN_QUEUE, min(4 * self.monitor.concurrency, capacity))
 
-    def _throughput(self) -> float:
-        """Return the calls per second that the backend server can process."""
-        throughput = self.monitor.concurrency / self.service_time
-        return min(self.rate_limiter.rate, throughput)
-
     def _enqueue(self, ticket: Ticket, now: float) -> None:
         if self.is_cold(now):
             self._refuse(ticket, Reason.COLD)
@@ -235,12 +210,12 @@
         dropped = self.queue.push(queued, self._queue_capacity(), now)
         if dropped is not None:
             reason = Reason.OVERLOADED
-            if self.is_rate_limited:
+            if self.limits.is_rate_limited:
                 reason = Reason.SERVER_RATE_LIMITED
             self._refuse(self.queued_by_run.pop(dropped.run), reason)
 
     def _refuse(self, ticket: Ticket, reason: Reason) -> None:
-        throughput = max(self._throughput(), 1.0 / self.service_time)
+        throughput = max(self.limits.throughput, 1.0 / self.service_time)
         retry_after = len(self.queued_by_run) / throughput
         self._report(ticket, Failure(reason, False, retry_after=retry_after))
 
@@ -257,10 +232,7 @@
         ticket.started_at = now
         ticket.server_start = report.start
         self.running_by_run[ticket.run] = ticket
-        self.cold_start_limiter.record_start(now)
-        self.rate_limiter.record_start(now)
-        if not self.monitor.is_proven:
-            self.unproven_limiter.record_start(now)
+        self.limits.record_start(now)
         self.demand.record_run(ticket.route)
         self.recorder.attempt_started(ticket)
         self.runner.run(ticket, report.instance, ticket.deadline - now)
@@ -285,16 +257,9 @@
             return
         if self.monitor.record_notice(notice, ticket.started_at, now):
             self.recorder.server_noticed(ticket, notice, self)
-            self.rate_limiter.set_rate(self.monitor.rate_limit, now)
+            self.limits.update(report, now)
             self._changed(now)
 
-    def started_within(self, seconds: float, now: float) -> int:
-        """Return the number of calls sent to the server in the last `seconds`.
-
-        Calls are remembered for the window of the cold-start limit.
-        """
-        return self.cold_start_limiter.started_within(seconds, now)
-
     def answered(
         self,
         ticket: Ticket,
--- a/knapweedlead/sidecar/_status_log.py
+++ b/knapweedlead/sidecar/_status_log.py
@@ -52,7 +52,7 @@
     host.recorder.log(
         "server_limited",
         rate_limit=guard.monitor.rate_limit,
-        started=guard.started_within(LIMITED_PERIOD, now),
+        started=guard.limits.started_within(LIMITED_PERIOD, now),
         running=len(guard.running_by_run),
         waiting=len(guard.queued_by_run),
     )
