--- a/knapweedlead/platform/tests/soak/environment.py
+++ b/knapweedlead/platform/tests/soak/environment.py
@@ -34,14 +34,33 @@
 _ROOT = Path(__file__).resolve().parents[4]
 
 
+def has_default_action(pid, number):
+    """Return whether a process neither ignores nor handles a signal."""
+    try:
+        status = Path(f"/proc/{pid}/status").read_text("ascii")
+    except OSError:
+        return False
+    masks = [
+        int(line.split()[1], 16)
+        for line in status.splitlines()
+        if line.startswith(("SigIgn:", "SigCgt:"))
+    ]
+    return not any(mask & 1 << (number - 1) for mask in masks)
+
+
 class DaemonProcess:
-    """One daemon process, restarted whenever it exits."""
+    """One daemon process, restarted whenever it exits.
+
+    A SIGHUP ends the interpreter if it arrives before the first line of the program;
+    no program can prevent that, so this exit is expected.
+    """
 
     def __init__(self, environment, index):
         self.environment = environment
         self.name = f"daemon-{index}"
         self.process = None
         self.is_exit_expected = False
+        self.is_hangup_expected = False
         self._task = None
 
     def start(self):
@@ -54,6 +73,7 @@
         with (self.environment.directory / f"{self.name}.log").open("ab") as log:
             while True:
                 self.is_exit_expected = False
+                self.is_hangup_expected = False
                 self.process = await asyncio.create_subprocess_exec(
                     *(sys.executable, "-m", "knapweedlead.sidecard"),
                     cwd=_ROOT,
@@ -62,7 +82,8 @@
                     stderr=log,
                 )
                 status = await self.process.wait()
-                if not self.is_exit_expected:
+                is_hangup = status == -signal.SIGHUP and self.is_hangup_expected
+                if not self.is_exit_expected and not is_hangup:
                     self.environment.observations.exits.append(
                         f"{self.name} ended with {status}"
                     )
@@ -77,7 +98,10 @@
         now = asyncio.get_running_loop().time()
         if number == signal.SIGKILL:
             self.environment.observations.kills.append((self.name, now))
-        if number != signal.SIGHUP:
+        if number == signal.SIGHUP:
+            pid = self.process.pid
+            self.is_hangup_expected |= has_default_action(pid, signal.SIGHUP)
+        else:
             self.environment.observations.interruptions.append((self.name, now))
         self.process.send_signal(number)
 
--- a/knapweedlead/platform/tests/test_soak.py
+++ b/knapweedlead/platform/tests/test_soak.py
@@ -1,9 +1,13 @@
 """A short soak with real processes, and tests of the soak's checks."""
 
 import os
+import signal
+import subprocess
+import sys
 
 import pytest
 
+from knapweedlead.platform.tests.soak.environment import has_default_action
 from knapweedlead.platform.tests.soak.observations import (
     ExecutedRequest,
     LimitedSpan,
@@ -119,6 +123,19 @@
     assert name in observations.violations()
 
 
+def test_default_action_of_a_signal_is_known_from_the_process():
+    waiting = "import sys; print(1, flush=True); sys.stdin.read()"
+    ignoring = f"import signal; signal.signal(1, signal.SIG_IGN); {waiting}"
+    for program, is_default in ((waiting, True), (ignoring, False)):
+        with subprocess.Popen(
+            [sys.executable, "-c", program],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        ) as process:
+            process.stdout.readline()
+            assert has_default_action(process.pid, signal.SIGHUP) == is_default
+
+
 def test_served_request_violates_nothing():
     assert make_observations(make_sent(**OK), make_run()).violations() == {}
 
