--- a/knapweedlead/mesh/_stop_schedule.py
+++ b/knapweedlead/mesh/_stop_schedule.py
@@ -2,9 +2,12 @@
 
 import attrs
 
-ACCEPT_SHARE = 0.5
-"""Fraction of the shutdown time for which all calls are accepted; the rest is left for
-their answers."""
+ACCEPT_TIME = 2.5
+"""Seconds for which a stopping daemon accepts all calls: two failed readiness probes,
+one second apart, after which callers go elsewhere, and some time for the last one."""
+MAX_ACCEPT_SHARE = 0.5
+"""Largest fraction of the shutdown time for which all calls are accepted; the rest is
+left for their answers."""
 
 
 @attrs.frozen
@@ -41,7 +44,8 @@
         answer_until : float
             Time until which answers are awaited.
         """
-        return cls(now + ACCEPT_SHARE * shutdown_time, answer_until)
+        accept_time = min(ACCEPT_TIME, MAX_ACCEPT_SHARE * shutdown_time)
+        return cls(now + accept_time, answer_until)
 
     def accepts(self, deadline: float, now: float) -> bool:
         """Return whether a call with a given deadline is accepted now."""
--- a/knapweedlead/sidecar/_sidecar.py
+++ b/knapweedlead/sidecar/_sidecar.py
@@ -61,9 +61,6 @@
 levels."""
 STORE_TIMEOUT = 1.0
 """Seconds until a call to the store times out."""
-READINESS_GRACE = 2.5
-"""Seconds for which a stopping daemon still accepts calls: two failed readiness
-probes, one second apart, and some time for the last probe to finish."""
 EXIT_MARGIN = 1.2
 """Seconds before the platform would kill the process at which it stops waiting for
 calls, and deregisters and closes its connections instead."""
@@ -212,13 +209,14 @@
         last_end = end + DRAIN_SHARE * EXIT_MARGIN
         self.recorder.log("stopping", calls=len(self.entry.call_by_number))
         self.is_stopping = True
-        self.entry.stop_schedule = StopSchedule.begin(
+        schedule = StopSchedule.begin(
             stop_started_at, self.settings.shutdown_time, last_end - REPLY_MARGIN
         )
+        self.entry.stop_schedule = schedule
         self.caller_listener.server.announce_close()
         self.guard.stop(stop_started_at)
         while self.clock() < end:
-            is_grace_over = self.clock() - stop_started_at > READINESS_GRACE
+            is_grace_over = self.clock() > schedule.accept_until
             if is_grace_over and self.entry.is_idle and self.guard.is_idle:
                 break
             await asyncio.sleep(TICK_PERIOD)
