--- a/knapweedlead/mesh/_retry_budget.py
+++ b/knapweedlead/mesh/_retry_budget.py
@@ -2,6 +2,9 @@
 
 import attrs
 
+INITIAL_RETRIES = 1.0
+"""Retries of each service that a new process has before it has earned any."""
+
 
 @attrs.define(eq=False)
 class _Balance:
@@ -13,7 +16,9 @@
     """Limits retries of calls to a service in proportion to first attempts.
 
     Each daemon enforces its own part, so that the sum over the fleet stays within the
-    fleet's budget: each first attempt earns a fraction of a retry, up to a cap.
+    fleet's budget: each first attempt earns a fraction of a retry, up to a cap. A new
+    process begins with one retry for each service, since an earlier process may have
+    used what it had accumulated.
 
     Parameters
     ----------
@@ -50,5 +55,5 @@
     def _balance(self, service: str) -> _Balance:
         balance = self._balance_by_service.get(service)
         if balance is None:
-            balance = self._balance_by_service[service] = _Balance(self._local_cap)
+            balance = self._balance_by_service[service] = _Balance(INITIAL_RETRIES)
         return balance
