--- a/knapweedlead/mesh/_cold_start_limiter.py
+++ b/knapweedlead/mesh/_cold_start_limiter.py
@@ -18,9 +18,6 @@
 
     Parameters
     ----------
-    started_at : float
-        Start of this process. An earlier process may have sent calls until then, so
-        that none are sent to a cold server during the first window.
     share : float
         Fraction of the sustainable rate that is used.
     """
@@ -29,8 +26,7 @@
         "share": Interval(float, 0.1, 1.5)
     }
 
-    def __init__(self, started_at: float, share: float = 1.0) -> None:
-        self.started_at = started_at
+    def __init__(self, share: float = 1.0) -> None:
         self.share = share
         check_parameters(self)
         self._started_at: deque[float] = deque()
@@ -51,6 +47,4 @@
         started_at = self._started_at
         while started_at and started_at[0] <= now - WINDOW:
             started_at.popleft()
-        if now < self.started_at + WINDOW:
-            return False
         return len(started_at) + 1 <= rate * self.share
--- a/knapweedlead/mesh/_guard.py
+++ b/knapweedlead/mesh/_guard.py
@@ -63,10 +63,20 @@
 
     # State of the backend server.
 
-    def apply_report(self, report: ServerReport, now: float) -> bool:
-        """Apply a heartbeat of the backend server; return whether it was new."""
+    def apply_report(
+        self, report: ServerReport, now: float, age: float = math.inf
+    ) -> bool:
+        """Apply a heartbeat of the backend server; return whether it was new.
+
+        Parameters
+        ----------
+        report : ServerReport
+        now : float
+        age : float
+            Seconds since the start of the server; infinite if unknown.
+        """
         previous = self.monitor.server.report
-        if not self.monitor.apply_report(report, now):
+        if not self.monitor.apply_report(report, now, age):
             return False
         self.limits.update(previous, now)
         self._changed(now)
--- a/knapweedlead/mesh/_server_limits.py
+++ b/knapweedlead/mesh/_server_limits.py
@@ -2,7 +2,7 @@
 
 import math
 
-from knapweedlead.mesh._cold_start_limiter import ColdStartLimiter
+from knapweedlead.mesh._cold_start_limiter import WINDOW, ColdStartLimiter
 from knapweedlead.mesh._reports import ServerReport
 from knapweedlead.mesh._server_monitor import UNPROVEN_LIMIT, ServerMonitor
 from knapweedlead.mesh._server_rate_limiter import ServerRateLimiter
@@ -13,7 +13,9 @@
     """Decides whether one more call may be sent to the backend server.
 
     Combines its slots, its rate in a cold start, the rate limit that its answers state,
-    and the limit on calls before its first answer.
+    and the limit on calls before its first answer. An earlier process may have sent
+    calls to a server whose history is not known; such a server receives none in its
+    cold start during the first window of this process.
 
     Parameters
     ----------
@@ -30,7 +32,8 @@
     def __init__(self, monitor: ServerMonitor, started_at: float) -> None:
         self.monitor = monitor
         self.cold_rate = math.inf
-        self._cold_start = ColdStartLimiter(started_at)
+        self._cold_start = ColdStartLimiter()
+        self._cold_from = started_at + WINDOW
         self._rate = ServerRateLimiter()
         self._unproven = UnprovenLimiter(UNPROVEN_LIMIT)
 
@@ -67,8 +70,13 @@
             return False
         if not self._rate.has_capacity(now):
             return False
-        is_cold = self.monitor.is_cold(now)
-        return not is_cold or self._cold_start.has_capacity(self.cold_rate, now)
+        return not self.monitor.is_cold(now) or self._has_cold_capacity(now)
+
+    def _has_cold_capacity(self, now: float) -> bool:
+        """Return whether a server in a cold start may receive one more call."""
+        if now < self._cold_from and not self.monitor.is_history_known:
+            return False
+        return self._cold_start.has_capacity(self.cold_rate, now)
 
     def record_start(self, now: float) -> None:
         """Count a call sent to the server."""
--- a/knapweedlead/mesh/_server_monitor.py
+++ b/knapweedlead/mesh/_server_monitor.py
@@ -21,12 +21,14 @@
 """A server with at least `STALL_CALLS` running calls counts as stalled if it has sent
 no answer or heartbeat for `STALL_TIME` seconds and for `STALL_SERVICE_TIMES` mean
 service times. It receives no calls until its next answer or heartbeat."""
-
-
 UNPROVEN_LIMIT = 4
 """Calls that run concurrently until the first answer of a server, or the first one to
 this daemon, and that are sent without a pause until then. Only an answer tells whether
 the server limits its rate or leaves."""
+KNOWN_AGE = 0.5
+"""Age of a server, in seconds, up to which its first heartbeat at this process shows
+that no earlier process knew the server: an earlier one would have acknowledged a
+heartbeat, after which the next follows a heartbeat period later."""
 
 
 class ServerMonitor:
@@ -49,8 +51,11 @@
         Smoothed fraction of calls that failed or were rejected.
     rate_limit : float
         Calls per second that the server last stated to accept; infinite for no limit.
+    is_history_known : bool
+        Whether no earlier process can have sent calls to the present start.
     is_proven : bool
-        Whether an answer has told whether the server limits its rate.
+        Whether it is known whether the server limits its rate: by an answer, or since
+        its history is known and it follows no start that did.
     states_leaving : bool
         Whether an answer of the server stated that it leaves.
     is_evacuated : bool
@@ -68,6 +73,7 @@
         self.has_service_time = False
         self.failure_share = 0.0
         self.rate_limit = math.inf
+        self.is_history_known = False
         self.is_proven = False
         self.states_leaving = False
         self.is_evacuated = False
@@ -81,16 +87,27 @@
 
     # Observations.
 
-    def apply_report(self, report: ServerReport, now: float) -> bool:
-        """Apply a heartbeat; return whether it was new."""
+    def apply_report(
+        self, report: ServerReport, now: float, age: float = math.inf
+    ) -> bool:
+        """Apply a heartbeat; return whether it was new.
+
+        Parameters
+        ----------
+        report : ServerReport
+        now : float
+        age : float
+            Seconds since the start of the server; infinite if unknown.
+        """
         previous = self.server.report
         if not self.server.apply_report(report, now):
             return False
         if previous is None or previous.start != report.start:
             self.failure_share = 0.0
             self.has_service_time = False
+            self.is_history_known = 0.0 <= age < KNOWN_AGE
+            self.is_proven = self.is_history_known and self.rate_limit == math.inf
             self.rate_limit = math.inf
-            self.is_proven = False
             self.states_leaving = False
         self._is_stalled = False
         return True
--- a/knapweedlead/mesh/tests/harness.py
+++ b/knapweedlead/mesh/tests/harness.py
@@ -1,5 +1,6 @@
 """Small configurations, reports and fakes for the tests of `knapweedlead.mesh`."""
 
+import math
 import random
 
 from knapweedlead.mesh import (
@@ -116,18 +117,22 @@
 class GuardHarness:
     """A guard with a recording runner and sender.
 
-    Its server counts as one that has answered before, unless `is_proven` is False.
+    Its server counts as one that has answered before, unless `is_proven` is False. If
+    it is None, the guard decides by the age of the server at its first heartbeat.
     """
 
-    def __init__(self, now=100.0, is_proven=True, started_at=0.0, **report):
+    def __init__(
+        self, now=100.0, is_proven=True, started_at=0.0, age=math.inf, **report
+    ):
         self.runner = RecordingRunner()
         self.sender = RecordingSender()
         self.guard = Guard(
             "lines", "north", self.runner, NullRecorder(), lambda: None, started_at
         )
         self.guard.apply_configuration(make_configuration(), frozenset(), now)
-        self.guard.apply_report(make_report(**report), now)
-        self.guard.monitor.is_proven = is_proven
+        self.guard.apply_report(make_report(**report), now, age)
+        if is_proven is not None:
+            self.guard.monitor.is_proven = is_proven
         self.numbers = iter(range(1, 1_000_000))
 
     def ticket(self, now, deadline=None, **changes):
--- a/knapweedlead/mesh/tests/test_guard.py
+++ b/knapweedlead/mesh/tests/test_guard.py
@@ -129,6 +129,32 @@
         assert sum(start <= at < start + 1.0 for at in started_at) <= 40
 
 
+def play_first_second(harness, process_start):
+    """Offer 100 calls a second; return the times in the first second they are sent."""
+    started_at = []
+    for step in range(100):
+        now = process_start + 0.01 * step
+        before = len(harness.runner.started)
+        harness.offer(now)
+        for ticket in harness.runner.started[before:]:
+            started_at.append(now - process_start)
+            harness.guard.answered(ticket, OK, now + 0.005)
+    return started_at
+
+
+def test_callers_wait_a_second_for_a_cold_server_that_no_earlier_process_knew():
+    harness = GuardHarness(started_at=100.0, age=0.3, slots=47, cold_remaining=3.0)
+    started_at = play_first_second(harness, 100.0)
+    assert len(started_at) == 40
+    assert started_at[0] == 0.0
+
+
+@pytest.mark.parametrize("age", [0.8, 20.0, -0.5, math.inf, math.nan])
+def test_cold_server_that_an_earlier_process_may_have_known_is_sent_a_second_burst(age):
+    harness = GuardHarness(started_at=100.0, age=age, slots=47, cold_remaining=3.0)
+    assert not play_first_second(harness, 100.0)
+
+
 def test_server_that_becomes_cold_is_limited_with_earlier_calls_counted():
     harness = GuardHarness(slots=1000)
     for _ in range(100):
--- a/knapweedlead/mesh/tests/test_server_rate_limit.py
+++ b/knapweedlead/mesh/tests/test_server_rate_limit.py
@@ -166,6 +166,22 @@
     assert len(harness.runner.started) == UNPROVEN_LIMIT
 
 
+def test_server_that_no_earlier_process_knew_waits_for_its_first_answer():
+    harness = GuardHarness(slots=142, is_proven=None, age=0.2)
+    for _ in range(20):
+        harness.offer(100.0)
+    assert len(harness.runner.started) == 20
+
+
+def test_start_that_follows_a_limited_one_is_flooded_before_it_can_state_a_limit():
+    harness = GuardHarness(slots=142)
+    begin_limit(harness, 10.0)
+    harness.guard.apply_report(make_report(born=2000, slots=142), 100.5, age=0.1)
+    for _ in range(20):
+        harness.offer(100.6)
+    assert len(harness.runner.started) == 1 + UNPROVEN_LIMIT
+
+
 def test_capacity_follows_the_rate_limit():
     state = ServerState("i", "lines", True, limit=142, service_time=0.15)
     assert state.capacity == 142
--- a/knapweedlead/sidecar/_clock.py
+++ b/knapweedlead/sidecar/_clock.py
@@ -9,5 +9,8 @@
 
 
 def read_time_of_day() -> float:
-    """Return seconds since the epoch; only for log lines, since this clock may jump."""
+    """Return seconds since the epoch; this clock may jump.
+
+    Used for log lines, and for the age of a server at its first heartbeat.
+    """
     return time.clock_gettime(time.CLOCK_REALTIME)
--- a/knapweedlead/sidecar/_sidecar.py
+++ b/knapweedlead/sidecar/_sidecar.py
@@ -25,7 +25,7 @@
     TokenExchange,
 )
 from knapweedlead.platform import PlatformStore
-from knapweedlead.sidecar._clock import read_clock
+from knapweedlead.sidecar._clock import read_clock, read_time_of_day
 from knapweedlead.sidecar._fleet_tracker import FleetTracker
 from knapweedlead.sidecar._links import Links
 from knapweedlead.sidecar._listeners import (
@@ -302,7 +302,8 @@
             return
         now = self.clock()
         before = self.guard.state(now)
-        self.guard.apply_report(report, now)
+        age = read_time_of_day() - report.born / 1000.0
+        self.guard.apply_report(report, now, age)
         after = self.guard.state(now)
         if (before.instance, before.is_open, before.is_cold) != (
             after.instance,
