--- a/knapweedlead/operators/_command_line.py
+++ b/knapweedlead/operators/_command_line.py
@@ -15,11 +15,12 @@
 from fire.decorators import SetParseFns
 from result import Err, Ok, Result
 
+from knapweedlead.errors import ParameterError
+from knapweedlead.operators._checks import CHECKS
 from knapweedlead.operators._client import ApiError, ApiResponse, OperatorClient
 from knapweedlead.operators._explain import find_daemon_lines, find_request_lines
 from knapweedlead.operators._resource_file import ResourceDocument, load_resources
 from knapweedlead.operators._tables import render_resources, render_status
-from knapweedlead.settings import DaemonSettings, load_settings
 
 EXIT_REFUSED = 1
 EXIT_USAGE = 2
@@ -217,12 +218,24 @@
         response = self._unwrap(_run(change))
         self._report_change(client, f"{kind}/{name} is {state}", response, wait)
 
-    def check_settings(self, file: str) -> None:
-        """Check a daemon's settings file without starting anything."""
-        loaded = load_settings(DaemonSettings, str(file))
-        if isinstance(loaded, Err):
-            raise _error_exit(EXIT_USAGE, str(loaded.err_value))
-        print(f"{file}: settings of {loaded.ok_value.name} are valid")
+    def check_settings(self, file: str, kind: str = "daemon") -> None:
+        """Check a file that daemons read, without starting anything.
+
+        Parameters
+        ----------
+        file : str
+        kind : str
+            ``daemon`` for the settings of a daemon; on the users' platform, ``boot``
+            for its boot file and ``configuration`` for the stored configuration.
+        """
+        try:
+            check = CHECKS.create(str(kind))
+        except ParameterError as error:
+            raise _error_exit(EXIT_USAGE, str(error)) from error
+        checked = check.check(Path(str(file)))
+        if isinstance(checked, Err):
+            raise _error_exit(EXIT_USAGE, "\n".join(checked.err_value))
+        print(f"{file}: {checked.ok_value}")
 
     def _report_change(
         self, client: OperatorClient, text: str, response: ApiResponse, wait: bool
--- a/knapweedlead/platform/_configuration.py
+++ b/knapweedlead/platform/_configuration.py
@@ -144,18 +144,18 @@
 
 def _decode_route(host: str, entry: dict[str, Any]) -> Route:
     # A kind of a later version may have an effect, so it counts as not idempotent.
-    is_idempotent = _IS_IDEMPOTENT_BY_KIND.get(_text(entry["kind"]), False)
+    is_idempotent = _IS_IDEMPOTENT_BY_KIND.get(_read(entry, "kind", _text), False)
     return Route(
-        name=_text(entry["name"]),
+        name=_read(entry, "name", _text),
         host=host,
-        prefix=_prefix(entry["prefix"]),
+        prefix=_read(entry, "prefix", _prefix),
         services=_decode_backends(entry),
         is_idempotent=is_idempotent,
-        timeout=_seconds(entry["timeoutMs"]),
-        target_latency=_seconds(entry["targetLatencyMs"]),
-        priority=_count(entry.get("priority", 0)),
-        max_attempts=_count(entry.get("maxAttempts", 1)),
-        is_public=_flag(entry.get("public", False)),
+        timeout=_read(entry, "timeoutMs", _seconds),
+        target_latency=_read(entry, "targetLatencyMs", _seconds),
+        priority=_read(entry, "priority", _count, 0),
+        max_attempts=_read(entry, "maxAttempts", _count, 1),
+        is_public=_read(entry, "public", _flag, False),
     )
 
 
@@ -185,9 +185,9 @@
 def _decode_backends(entry: dict[str, Any]) -> tuple[WeightedService, ...]:
     backends = entry.get("backends")
     if not backends:
-        return (WeightedService(_text(entry["service"]), 1.0),)
+        return (WeightedService(_read(entry, "service", _text), 1.0),)
     parts = tuple(
-        WeightedService(_text(part["service"]), _amount(part["weight"]))
+        WeightedService(_read(part, "service", _text), _read(part, "weight", _amount))
         for part in backends
     )
     if not any(part.weight > 0.0 for part in parts):
@@ -205,11 +205,11 @@
 
 def _decode_service(entry: dict[str, Any]) -> Service:
     return Service(
-        name=_text(entry["name"]),
-        health_path=_text(entry["healthPath"]),
-        max_connections=_count(entry["maxConnections"]),
-        cold_start=_amount(entry.get("coldStartS", 0.0)),
-        cold_rate=_amount(entry.get("coldPerS", 0.0)) or math.inf,
+        name=_read(entry, "name", _text),
+        health_path=_read(entry, "healthPath", _text),
+        max_connections=_read(entry, "maxConnections", _count),
+        cold_start=_read(entry, "coldStartS", _amount, 0.0),
+        cold_rate=_read(entry, "coldPerS", _amount, 0.0) or math.inf,
     )
 
 
@@ -235,13 +235,13 @@
 
 
 def _decode_account(entry: dict[str, Any]) -> ClientAccount:
-    priority = entry.get("priority")
+    has_priority = entry.get("priority") is not None
     return ClientAccount(
-        name=_text(entry["name"]),
-        keys=tuple(_text(key) for key in _list(entry["apiKeys"])),
-        priority=None if priority is None else _count(priority),
-        rate=_amount(entry.get("ratePerS", 0.0)),
-        burst=_amount(entry.get("burst", 0.0)),
+        name=_read(entry, "name", _text),
+        keys=_read(entry, "apiKeys", _texts),
+        priority=_read(entry, "priority", _count) if has_priority else None,
+        rate=_read(entry, "ratePerS", _amount, 0.0),
+        burst=_read(entry, "burst", _amount, 0.0),
     )
 
 
@@ -282,6 +282,30 @@
     )
 
 
+def _read(
+    entry: dict[str, Any],
+    field: str,
+    decode: Callable[[Any], _Entry],
+    default: _Entry | None = None,
+) -> _Entry:
+    """Return a decoded field, or the default if the entry has no such field.
+
+    Raises
+    ------
+    ValueError
+        If the field cannot be decoded, or is missing and has no default; its text names
+        the field.
+    """
+    if field not in entry:
+        if default is None:
+            raise ValueError(f"{field}: expected a value, got none")
+        return default
+    try:
+        return decode(entry[field])
+    except _DECODE_ERRORS as error:
+        raise ValueError(f"{field}: {error}") from error
+
+
 def _text(value: Any) -> str:
     if not isinstance(value, str) or not value:
         raise ValueError(f"expected a non-empty string, got {value!r}")
@@ -294,6 +318,10 @@
     return value
 
 
+def _texts(value: Any) -> tuple[str, ...]:
+    return tuple(_text(part) for part in _list(value))
+
+
 def _flag(value: Any) -> bool:
     if not isinstance(value, bool):
         raise ValueError(f"expected true or false, got {value!r}")
