--- a/knapweedlead/http/_server.py
+++ b/knapweedlead/http/_server.py
@@ -10,6 +10,9 @@
 from knapweedlead.http._listener import Listener
 
 MAX_CALLER_CONNECTIONS = 8192
+FAULT_STATUS = 502
+"""Status of the reply to a request whose handler raised an exception. It promises
+nothing, since the request may have been passed on."""
 
 _SWEEP_SECONDS = 1.0
 
@@ -51,9 +54,12 @@
     Parameters
     ----------
     on_request : callable
-        Called with an `HttpRequest`, which is answered later with `reply`.
+        Called with an `HttpRequest`, which is answered later with `reply`. If it raises
+        an exception, the event loop's exception handler is called, and the request is
+        answered with `FAULT_STATUS`.
     on_gone : callable
-        Called with the exchange of a caller that disconnected before the reply.
+        Called with the exchange of a caller that disconnected before the reply, or
+        whose request has been answered because of an exception.
     on_refused_request : callable
         Called with a reason, ``malformed_request``, ``request_too_large`` or
         ``overloaded``; returns status, headers and body of the response.
@@ -93,8 +99,13 @@
     ) -> None:
         """Answer an exchange; does nothing if its caller has disconnected."""
         protocol = self._protocol_by_exchange.pop(exchange, None)
-        if protocol is not None:
+        if protocol is None:
+            return
+        try:
             protocol.reply(status, headers, body)
+        except Exception as error:
+            _report_fault("reply", error)
+            protocol.transport.abort()
 
     @property
     def open_exchanges(self) -> int:
@@ -126,17 +137,27 @@
     def _sweep(self) -> None:
         """Enforce the request and idle timeouts of all connections."""
         loop = asyncio.get_running_loop()
+        self._sweep_timer = loop.call_later(_SWEEP_SECONDS, self._sweep)
         now = loop.time()
         for protocol in list(self._protocols):
-            protocol.check_timeouts(now)
-        self._sweep_timer = loop.call_later(_SWEEP_SECONDS, self._sweep)
+            try:
+                protocol.check_timeouts(now)
+            except Exception as error:
+                _report_fault("check of timeouts", error)
+                protocol.transport.abort()
 
     def start_exchange(self, protocol: CallerProtocol, request: ParsedRequest) -> int:
         """Pass on a request and return the identifier of its exchange."""
         exchange = next(self._exchanges)
         self._protocol_by_exchange[exchange] = protocol
         protocol.exchange = exchange
-        self.on_request(HttpRequest(exchange, *request, protocol))
+        try:
+            self.on_request(HttpRequest(exchange, *request, protocol))
+        except Exception as error:
+            _report_fault("request", error)
+            if exchange in self._protocol_by_exchange:
+                self.on_gone(exchange)
+                self.reply(exchange, FAULT_STATUS, {}, b"")
         return exchange
 
     def abandon_exchange(self, exchange: int) -> None:
@@ -152,3 +173,9 @@
     def remove_connection(self, protocol: CallerProtocol) -> None:
         """Unregister a closed connection."""
         self._protocols.discard(protocol)
+
+
+def _report_fault(step: str, error: Exception) -> None:
+    """Pass an unexpected exception to the exception handler of the event loop."""
+    context = {"message": f"exception in a handler: {step}", "exception": error}
+    asyncio.get_running_loop().call_exception_handler(context)
--- a/knapweedlead/mesh/_entry.py
+++ b/knapweedlead/mesh/_entry.py
@@ -275,9 +275,9 @@
             call.last_failure = Failure(Reason.FAILED, True, True)
             self._retry(call, call.last_failure, now)
             return
+        self.replies.answer(call.exchange, answer)
         self._finish(call)
         self.recorder.ended(call, answer.status, now)
-        self.replies.answer(call.exchange, answer)
 
     def failed(
         self,
@@ -337,15 +337,15 @@
     # Outcomes.
 
     def _fail(self, call: EntryCall, failure: Failure, now: float) -> None:
-        self._finish(call)
         status = status_of(failure, call.may_have_run, call.deadline <= now)
         if not call.may_have_run and call.has_token and call.account is not None:
             self.quotas.refund(call.account, now)
         retry_after = failure.retry_after
         if retry_after <= 0.0:
             retry_after = DEFAULT_RETRY_AFTER * (1.0 + self.rng.random())
-        self.recorder.refused(call.call.request_id, failure.reason, status, call)
         self.replies.refuse(call.exchange, status, failure.reason, retry_after)
+        self._finish(call)
+        self.recorder.refused(call.call.request_id, failure.reason, status, call)
 
     def _finish(self, call: EntryCall) -> None:
         call.is_done = True
@@ -371,9 +371,9 @@
             if call is None:
                 continue
             call.may_have_run = True
+            self._fail(call, Failure(Reason.DEADLINE, True), now)
             if call.target is not None:
                 call.target.channel.cancel_call(call)
-            self._fail(call, Failure(Reason.DEADLINE, True), now)
 
     def target_lost(self, target: Target, now: float) -> None:
         """Fail the attempts in flight at a daemon whose link was lost."""
--- a/knapweedlead/mesh/_guard.py
+++ b/knapweedlead/mesh/_guard.py
@@ -242,10 +242,13 @@
         ticket.started_at = now
         ticket.server_start = report.start
         self.running_by_run[ticket.run] = ticket
-        self.limits.record_start(now)
         self.demand.record_run(ticket.route)
-        self.recorder.attempt_started(ticket)
-        self.runner.run(ticket, report.instance, ticket.deadline - now)
+        try:
+            self.limits.record_start(now)
+            self.recorder.attempt_started(ticket)
+            self.runner.run(ticket, report.instance, ticket.deadline - now)
+        except Exception as error:
+            self.handle_fault(ticket, error)
 
     def _start_queued(self, now: float) -> None:
         while self.queued_by_run and self.monitor.closed_reason(now) is None:
@@ -330,6 +333,12 @@
         self._report(ticket, failure)
         self._start_queued(now)
 
+    def handle_fault(self, ticket: Ticket, error: Exception) -> None:
+        """End a call in whose handling an exception was raised, as unknown."""
+        self.recorder.fault("run", error)
+        self._end(ticket)
+        ticket.sender.failed(ticket, Failure(Reason.FAULT, True, True))
+
     def _record_answer(self, now: float) -> None:
         if self.monitor.record_answer(now):
             self._changed(now)
--- a/knapweedlead/mesh/_tickets.py
+++ b/knapweedlead/mesh/_tickets.py
@@ -89,6 +89,9 @@
 class GuardRecorder(Protocol):
     """Counts and logs the outcomes of calls at a guard."""
 
+    def fault(self, step: str, error: BaseException) -> None:
+        """Record an unexpected exception."""
+
     def attempt_started(self, ticket: Ticket) -> None:
         """Record a call that was sent to the backend server."""
 
--- a/knapweedlead/mesh/tests/harness.py
+++ b/knapweedlead/mesh/tests/harness.py
@@ -192,7 +192,11 @@
 
 
 class NullRecorder:
-    """Recorder of an entry and a guard that ignores everything."""
+    """Recorder of an entry and a guard that ignores everything but exceptions."""
+
+    def fault(self, step, error):
+        """Raise an unexpected exception."""
+        raise error
 
     def sent(self, call, now):
         """Ignore an attempt."""
--- a/knapweedlead/platform/tests/fleets.py
+++ b/knapweedlead/platform/tests/fleets.py
@@ -193,15 +193,6 @@
 
     async def call(self, index, method, path, key="key-crew", request_id="r1", **extra):
         """Send a call to a daemon; return the answer, or the detail of a failure."""
-        loop = asyncio.get_running_loop()
-        future = loop.create_future()
-        client = BackendServerClient(
-            self.sidecars[index].settings.caller_address,
-            8,
-            lambda run, answer: future.set_result(answer),
-            lambda run, was_sent, detail: future.set_result(detail),
-        )
-        self._clients.append(client)
         headers = {
             "host": "h.example",
             "knapweedlead-request-id": request_id,
@@ -210,7 +201,20 @@
         if key:
             headers["authorization"] = f"Token {key}"
         body = extra.pop("body", b"")
-        client.send(1, request(method, path, headers, body), False, 4.0)
+        data = request(method, path, headers, body)
+        return await self.send(self.sidecars[index].settings.caller_address, data)
+
+    async def send(self, address, data):
+        """Send a request; return the answer, or the detail of a failure."""
+        future = asyncio.get_running_loop().create_future()
+        client = BackendServerClient(
+            address,
+            8,
+            lambda run, answer: future.set_result(answer),
+            lambda run, was_sent, detail: future.set_result(detail),
+        )
+        self._clients.append(client)
+        client.send(1, data, False, 4.0)
         return await future
 
     def registered_count(self):
--- a/knapweedlead/sidecar/_runner.py
+++ b/knapweedlead/sidecar/_runner.py
@@ -61,6 +61,12 @@
 
     def _on_answer(self, run: int, answer: HttpAnswer) -> None:
         ticket = self._ticket_by_run.pop(run)
+        try:
+            self._report_answer(ticket, answer)
+        except Exception as error:
+            self.guard.handle_fault(ticket, error)
+
+    def _report_answer(self, ticket: Ticket, answer: HttpAnswer) -> None:
         now = self.clock()
         status = answer.status
         notice = decode_server_notice(answer.headers)
@@ -77,6 +83,12 @@
 
     def _on_failure(self, run: int, was_sent: bool, detail: str) -> None:
         ticket = self._ticket_by_run.pop(run)
+        try:
+            self._report_failure(ticket, was_sent, detail)
+        except Exception as error:
+            self.guard.handle_fault(ticket, error)
+
+    def _report_failure(self, ticket: Ticket, was_sent: bool, detail: str) -> None:
         now = self.clock()
         if detail == "timeout":
             failure = Failure(Reason.DEADLINE, True, True)
--- a/knapweedlead/sidecar/_sidecar.py
+++ b/knapweedlead/sidecar/_sidecar.py
@@ -4,6 +4,7 @@
 import math
 import random
 from functools import partial
+from typing import Any
 
 from knapweedlead.mesh import (
     PLACEMENTS,
@@ -262,6 +263,13 @@
         """Count and log an exception raised in a step of the daemon."""
         self.recorder.fault(step, error)
 
+    def handle_loop_exception(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        """Record an exception that no step has handled; the daemon goes on."""
+        error = context.get("exception") or RuntimeError(context["message"])
+        self.record_fault("loop", error)
+
     def _readiness(self) -> tuple[int, bytes]:
         is_ready = self.entry.configuration is not None and not self.is_stopping
         return (200, b"ready\n") if is_ready else (503, b"not ready\n")
--- a/knapweedlead/sidecar/main.py
+++ b/knapweedlead/sidecar/main.py
@@ -35,6 +35,7 @@
     sidecar = Sidecar(settings, random.Random(secrets.randbits(64)))
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(sidecar.handle_loop_exception)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, sidecar, path)
