--- a/knapweedlead/sidecar/_sidecar.py
+++ b/knapweedlead/sidecar/_sidecar.py
@@ -327,6 +327,7 @@
                 slots=report.slots,
                 sequence=report.sequence,
                 born=report.born,
+                is_history_known=self.guard.monitor.is_history_known,
             )
 
     def handle_deregistration(self, instance: str) -> None:
