--- a/knapweedlead/calls/__init__.py
+++ b/knapweedlead/calls/__init__.py
@@ -1,6 +1,6 @@
 """Call handling: the entry role for callers, the guard role for backend servers."""
 
-from knapweedlead.calls._entry import EntryRole
+from knapweedlead.calls._entry import STOP_ANSWER_TIME, EntryRole
 from knapweedlead.calls._guard import GuardRole
 from knapweedlead.calls._headers import (
     AUTHORIZATION,
@@ -18,6 +18,7 @@
     "GuardRole",
     "IDEMPOTENCY_KEY",
     "PARENT",
+    "STOP_ANSWER_TIME",
     "TRACEPARENT",
     "problem_reply",
 ]
--- a/knapweedlead/calls/_entry.py
+++ b/knapweedlead/calls/_entry.py
@@ -1,5 +1,6 @@
 """Entry role: accepts calls from callers and sends them to backend servers."""
 
+import math
 import random
 from collections.abc import Iterator
 
@@ -26,6 +27,7 @@
     Role,
     RunFailed,
     SendFailed,
+    ShutdownRequested,
     Tick,
     handles,
     handles_message,
@@ -36,6 +38,8 @@
 
 CALLER_RETRY_WINDOW_MS = 10_000
 """Milliseconds after a failure during which a caller's retries are limited."""
+STOP_ANSWER_TIME = 30.0
+"""Seconds for which a stopping daemon awaits the answers of accepted calls."""
 
 
 class EntryRole(Role):
@@ -71,6 +75,7 @@
     ) -> None:
         self.configuration = configuration
         self.router = router
+        self._answers_until = math.inf
         self.calls = PendingCalls()
         self.caller_retries = CallerRetryCredits(CALLER_RETRY_WINDOW_MS / 1000)
         self.acceptance = CallAcceptance(
@@ -94,9 +99,21 @@
             yield from _refuse_request(event, accepted.err_value)
             return
         call = accepted.ok_value
+        if call.parent is None and call.deadline > self._answers_until:
+            yield from _refuse_request(event, RefusalReason.DRAINING)
+            return
         self.calls.add(call)
         yield from self.reservations.request(call, now)
 
+    @handles(ShutdownRequested)
+    def on_shutdown(self, event: ShutdownRequested, now: float) -> Iterator[Effect]:
+        """Accept only callers' calls whose deadline is before the end of the stop.
+
+        Child calls are accepted, since work has already been done for them.
+        """
+        self._answers_until = now + STOP_ANSWER_TIME
+        yield from ()
+
     @handles(TokensDecided)
     def on_tokens_decided(self, event: TokensDecided, now: float) -> Iterator[Effect]:
         """Continue a call after the decision on its token."""
--- a/knapweedlead/daemon/_lifecycle.py
+++ b/knapweedlead/daemon/_lifecycle.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from knapweedlead.calls import STOP_ANSWER_TIME
 from knapweedlead.daemon._shell import Shell
 from knapweedlead.operators import OperatorApi
 from knapweedlead.statecharts import Statechart
@@ -16,8 +17,6 @@
 A connection is closed with the reply to its next request, so that a request cannot
 arrive on a connection that is being closed. Only connections that stay idle are
 closed without a reply."""
-DRAIN_SECONDS = 30.0
-"""Time limit for the calls in flight to finish."""
 POLL_SECONDS = 0.02
 
 _CHART = Statechart.load("knapweedlead.daemon", "lifecycle.json")
@@ -26,7 +25,7 @@
 class Lifecycle:
     """Starts a daemon and stops it gracefully.
 
-    Calls in flight may finish within `DRAIN_SECONDS`.
+    Calls in flight may finish within `STOP_ANSWER_TIME`.
 
     Parameters
     ----------
@@ -58,7 +57,7 @@
         await self._wait_while(lambda: self.shell.has_callers, LINGER_SECONDS)
         await self.shell.close_caller_connections()
         is_timed_out = await self._wait_while(
-            lambda: not self.shell.is_idle, DRAIN_SECONDS
+            lambda: not self.shell.is_idle, STOP_ANSWER_TIME
         )
         self._advance("timeout" if is_timed_out else "idle")
         await self.api.stop()
