--- a/knapweedlead/mesh/_entry.py
+++ b/knapweedlead/mesh/_entry.py
@@ -3,7 +3,7 @@
 import heapq
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Iterable
 from typing import Any
 
 from knapweedlead.mesh._calls import AttemptTimes, Call, Failure, Reason, ServerAnswer
@@ -375,12 +375,35 @@
             if call.target is not None:
                 call.target.channel.cancel_call(call)
 
-    def target_lost(self, target: Target, now: float) -> None:
-        """Fail the attempts in flight at a daemon whose link was lost."""
-        lost = [call for call in self.call_by_number.values() if call.target is target]
+    def target_lost(
+        self, target: Target, now: float, awaited: Collection[int] = ()
+    ) -> None:
+        """Fail the attempts in flight at a daemon whose link was lost.
+
+        Parameters
+        ----------
+        target : Target
+        now : float
+        awaited : collection of int
+            Numbers of the calls whose answers may still arrive on another connection.
+        """
+        calls = self.call_by_number.values()
+        lost = [call.number for call in calls if call.target is target]
+        self.attempts_lost([n for n in lost if n not in awaited], target, now)
+
+    def attempts_lost(self, numbers: Iterable[int], target: Target, now: float) -> None:
+        """Fail attempts at a target whose answers can no longer arrive."""
         failure = Failure(Reason.LINK_LOST, True, True)
-        for call in lost:
-            self.failed(call.number, failure, now)
+        for number in numbers:
+            self.failed(number, failure, now, target)
+
+    def unretryable_at(self, target: Target) -> set[int]:
+        """Return the numbers of the calls at a target that are not idempotent."""
+        return {
+            call.number
+            for call in self.call_by_number.values()
+            if call.target is target and not call.route.is_idempotent
+        }
 
     def target_suspected(self, target: Target, now: float) -> None:
         """Retry the calls in flight at an unresponsive daemon, using other servers.
--- a/knapweedlead/sidecar/_links.py
+++ b/knapweedlead/sidecar/_links.py
@@ -66,12 +66,13 @@
     def set_members(self, by_name: dict[str, Member]) -> None:
         """Open links to new members, and replace the links to changed members.
 
-        The link to a member that is no longer listed is kept while it is connected.
+        The link to a member that is no longer listed is kept while it is connected, or
+        answers are awaited from a silent peer.
         """
         for name, link in list(self.outgoing_by_name.items()):
             member = by_name.get(name)
             is_moved = member is not None and member != link.member
-            if is_moved or (member is None and link.connection is None):
+            if is_moved or (member is None and not link.is_connected):
                 del self.outgoing_by_name[name]
                 link.close()
         for name, member in by_name.items():
--- a/knapweedlead/sidecar/_outgoing_link.py
+++ b/knapweedlead/sidecar/_outgoing_link.py
@@ -1,30 +1,33 @@
 """A link on which calls are sent to another daemon."""
 
 import asyncio
+import itertools
 from typing import Any
 
 import attrs
 
 from knapweedlead.http import split_address
 from knapweedlead.mesh import (
-    AttemptTimes,
     EntryCall,
     LinkAction,
     LinkMonitor,
     Member,
-    ServerAnswer,
     ServerState,
     Target,
 )
 from knapweedlead.sidecar._frames import FrameConnection
 from knapweedlead.sidecar._link_host import LinkHost
+from knapweedlead.sidecar._silent_connection import (
+    CALL_OUTCOMES,
+    SilentConnection,
+    deliver_outcome,
+)
 from knapweedlead.sidecar._wire import (
     FrameKind,
     PeerState,
     call_frame,
     decode_change,
     decode_demand,
-    decode_failure,
     decode_fleet_state,
 )
 
@@ -48,6 +51,7 @@
     is_removed: bool = False
     is_watching: bool = False
     _pending_calls: set[int] = attrs.field(factory=set)
+    _silent: list[SilentConnection] = attrs.field(factory=list)
 
     @property
     def name(self) -> str:
@@ -63,6 +67,7 @@
             Number of outgoing links of this daemon.
         now : float
         """
+        self._tick_silent()
         if self.connection is None:
             if self.opening is None and now >= self.reconnect_at:
                 self.opening = asyncio.ensure_future(self._open())
@@ -70,7 +75,7 @@
         is_needed = bool(self._pending_calls) or not self.target.is_up
         action = self.monitor.evaluate(is_needed, links, now, self.is_watching)
         if action is LinkAction.DROP:
-            self.connection.abort("silent")
+            self._drop(self.connection)
             return
         if action is LinkAction.SUSPECT and self.target.is_up:
             self.target.is_up = False
@@ -79,6 +84,31 @@
         if action is not LinkAction.IDLE:
             self._send_probe(self.connection, now)
 
+    def _tick_silent(self) -> None:
+        for silent in self._silent:
+            silent.tick()
+        self._silent = [silent for silent in self._silent if silent.is_open]
+
+    def _drop(self, connection: FrameConnection) -> None:
+        """Replace the connection to a silent peer.
+
+        It is kept beside the new one while calls await answers on it that cannot be
+        sent to another server.
+        """
+        entry = self.host.entry
+        numbers = self._pending_calls & entry.unretryable_at(self.target)
+        if not numbers:
+            connection.abort("silent")
+            return
+        silent = SilentConnection(self.host, self.target, connection, numbers)
+        self._silent.append(silent)
+        self._on_lost(connection, "silent")
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether the peer may still send something."""
+        return self.connection is not None or bool(self._silent)
+
     def _send_probe(self, connection: FrameConnection, now: float) -> None:
         self.monitor.record_probe(now)
         connection.send([FrameKind.PROBE.value, now])
@@ -122,11 +152,14 @@
         self.reconnect_at = now + RECONNECT_DELAY
         self.target.is_up = False
         self.host.record_link_change(self.member.name, False, detail)
-        self.host.entry.target_lost(self.target, now)
+        awaited = set(itertools.chain(*(silent.numbers for silent in self._silent)))
+        self.host.entry.target_lost(self.target, now, awaited)
 
     def close(self) -> None:
         """Close the link; it is not opened again."""
         self.is_removed = True
+        for silent in self._silent:
+            silent.connection.abort("removed")
         if self.connection is not None:
             self.connection.abort("removed")
 
@@ -153,17 +186,9 @@
         now = self.host.clock()
         self.monitor.record_message(now)
         kind = frame[0]
-        if kind == FrameKind.ANSWER:
-            number, status, headers, body, running, queued, waited, ran = frame[1:9]
-            self._pending_calls.discard(number)
-            self.target.apply_load(running, queued)
-            answer = ServerAnswer(status, headers, body)
-            times = AttemptTimes(waited, ran)
-            self.host.entry.answered(number, answer, now, times)
-        elif kind == FrameKind.FAILURE:
+        if kind in CALL_OUTCOMES:
             self._pending_calls.discard(frame[1])
-            self.target.apply_load(frame[6], frame[7])
-            self.host.entry.failed(frame[1], decode_failure(frame), now, self.target)
+            deliver_outcome(self.host, self.target, frame, now)
         elif kind == FrameKind.STATE:
             self._handle_state(PeerState.from_frame(frame))
         elif kind == FrameKind.FLEET_STATE:
--- /dev/null
+++ b/knapweedlead/sidecar/_silent_connection.py
@@ -0,0 +1,79 @@
+"""Connection to a silent peer on which the answers to calls are still awaited."""
+
+from typing import Any
+
+import attrs
+
+from knapweedlead.mesh import AttemptTimes, ServerAnswer, Target
+from knapweedlead.sidecar._frames import FrameConnection
+from knapweedlead.sidecar._link_host import LinkHost
+from knapweedlead.sidecar._wire import FrameKind, decode_failure
+
+CALL_OUTCOMES = frozenset({FrameKind.ANSWER, FrameKind.FAILURE})
+"""Kinds of frames that end an attempt; the second field is the number of the call."""
+
+
+def deliver_outcome(
+    host: LinkHost, target: Target, frame: list[Any], now: float
+) -> None:
+    """Pass the outcome of an attempt at a target to the entry."""
+    if frame[0] == FrameKind.ANSWER:
+        number, status, headers, body, running, queued, waited, ran = frame[1:9]
+        target.apply_load(running, queued)
+        answer = ServerAnswer(status, headers, body)
+        host.entry.answered(number, answer, now, AttemptTimes(waited, ran))
+    else:
+        target.apply_load(frame[6], frame[7])
+        host.entry.failed(frame[1], decode_failure(frame), now, target)
+
+
+@attrs.define(eq=False)
+class SilentConnection:
+    """A connection that its link has replaced, kept for the answers to some calls.
+
+    The peer may be paused or slow, and continue later. Calls that are not idempotent
+    cannot be sent to another server, so that they wait for their answer until their
+    deadline, or until the connection is lost.
+
+    Parameters
+    ----------
+    host : LinkHost
+    target : Target
+    connection : FrameConnection
+    numbers : set of int
+        Numbers of the calls.
+    """
+
+    host: LinkHost
+    target: Target
+    connection: FrameConnection
+    numbers: set[int]
+
+    def __attrs_post_init__(self) -> None:
+        self.connection.on_frame = self._on_frame
+        self.connection.on_lost = self._on_lost
+
+    @property
+    def is_open(self) -> bool:
+        """Whether an answer may still arrive."""
+        return not self.connection.is_closed
+
+    def tick(self) -> None:
+        """Close the connection once no answer is awaited."""
+        self.numbers.intersection_update(self.host.entry.call_by_number)
+        if not self.numbers:
+            self.connection.abort("no answer is awaited")
+
+    def _on_frame(self, connection: FrameConnection, frame: list[Any]) -> None:
+        if frame[0] not in CALL_OUTCOMES:
+            return
+        try:
+            self.numbers.discard(frame[1])
+            deliver_outcome(self.host, self.target, frame, self.host.clock())
+        except Exception as error:
+            self.host.record_fault("link", error)
+            connection.abort("frame that cannot be handled")
+
+    def _on_lost(self, connection: FrameConnection, detail: str) -> None:
+        numbers, self.numbers = self.numbers, set()
+        self.host.entry.attempts_lost(numbers, self.target, self.host.clock())
