--- a/knapweedlead/operators/_client.py
+++ b/knapweedlead/operators/_client.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 import secrets
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterable, AsyncIterator
 from typing import Any
 
 import attrs
@@ -122,19 +122,42 @@
     async def watch(
         self, kind: str, revision: str
     ) -> AsyncIterator[Result[Any, ApiError]]:
-        """Yield changes to resources of `kind` until the daemon closes the stream."""
+        """Yield changes to resources of `kind` until the daemon closes the stream.
+
+        The next daemon is tried if a daemon does not respond. The last result is an
+        error if none responds, or if the stream breaks off.
+        """
         path = f"/v1/{kind}?watch=true" + (f"&from={revision}" if revision else "")
-        address = self.addresses[0]
-        async with ClientSession(base_url=f"http://{address}") as session:
-            response = await session.get(path, headers=self._headers(""))
-            if response.status >= _FIRST_ERROR:
-                yield await _read_response(address, "GET", response)
-                return
-            rest = b""
-            async for part in response.stream():
-                *lines, rest = (rest + part).split(b"\n")
-                for line in lines:
-                    yield Ok(json.loads(line))
+        error = ApiError("operators.watch", "-", "no address was given")
+        for address in self.addresses:
+            has_response = False
+            try:
+                async with ClientSession(base_url=f"http://{address}") as session:
+                    async with asyncio.timeout(REQUEST_TIMEOUT_SECONDS):
+                        response = await session.get(path, headers=self._headers(""))
+                    has_response = True
+                    if response.status >= _FIRST_ERROR:
+                        yield await _read_response(address, "GET", response)
+                        return
+                    async for line in _read_lines(response.stream()):
+                        yield Ok(json.loads(line))
+                    return
+            except Exception as cause:  # many kinds of connection error
+                what = "stream broke off" if has_response else "no response"
+                detail = f"{what}: {type(cause).__name__}"
+                error = ApiError("operators.watch", address, detail)
+            if has_response:
+                break
+        yield Err(error)
+
+
+async def _read_lines(parts: AsyncIterable[bytes]) -> AsyncIterator[bytes]:
+    """Yield the complete lines of a streamed body."""
+    rest = b""
+    async for part in parts:
+        *lines, rest = (rest + part).split(b"\n")
+        for line in lines:
+            yield line
 
 
 async def _read_response(
