--- a/knapweedlead/telemetry/tests/test_metrics.py
+++ b/knapweedlead/telemetry/tests/test_metrics.py
@@ -67,6 +67,11 @@
     assert reasons == set(label.values)
 
 
+def test_metric_is_declared_twice():
+    names = [spec.name for spec in METRICS]
+    assert len(names) == len(set(names))
+
+
 def test_metrics_page_lists_every_metric_label_and_value_and_no_other_metric():
     page = METRICS_PAGE.read_text("utf-8")
     for spec in METRICS:
