--- a/knapweedlead/mesh/_guard.py
+++ b/knapweedlead/mesh/_guard.py
@@ -36,6 +36,8 @@
         Called whenever the backend server may have opened or closed for calls.
     started_at : float
         Start of this process.
+    heartbeat_period : float
+        Seconds between the heartbeats of the backend server.
     """
 
     def __init__(
@@ -46,13 +48,14 @@
         recorder: GuardRecorder,
         on_change: Callable[[], None],
         started_at: float,
+        heartbeat_period: float,
     ) -> None:
         self.service = service
         self.data_centre = data_centre
         self.runner = runner
         self.recorder = recorder
         self.on_change = on_change
-        self.monitor = ServerMonitor(service)
+        self.monitor = ServerMonitor(service, heartbeat_period)
         self.limits = ServerLimits(self.monitor, started_at)
         self.queue = QUEUES.create("priority_fair")
         self.running_by_run: dict[int, Ticket] = {}
--- a/knapweedlead/mesh/_server_monitor.py
+++ b/knapweedlead/mesh/_server_monitor.py
@@ -25,10 +25,10 @@
 """Calls that run concurrently until the first answer of a server, or the first one to
 this daemon, and that are sent without a pause until then. Only an answer tells whether
 the server limits its rate or leaves."""
-KNOWN_AGE = 0.5
-"""Age of a server, in seconds, up to which its first heartbeat at this process shows
-that no earlier process knew the server: an earlier one would have acknowledged a
-heartbeat, after which the next follows a heartbeat period later."""
+KNOWN_AGE_SHARE = 1.0 / 3.0
+"""Age of a server, as a fraction of the heartbeat period, up to which its first
+heartbeat at this process shows that no earlier process knew the server: an earlier one
+would have acknowledged a heartbeat, after which the next follows a period later."""
 
 
 class ServerMonitor:
@@ -38,6 +38,8 @@
     ----------
     service : str
         Service to which the backend server must belong.
+    heartbeat_period : float
+        Seconds between the heartbeats of the server.
 
     Attributes
     ----------
@@ -66,8 +68,9 @@
         Whether a configuration has been received.
     """
 
-    def __init__(self, service: str) -> None:
+    def __init__(self, service: str, heartbeat_period: float) -> None:
         self.service = service
+        self.heartbeat_period = heartbeat_period
         self.server = BackendServer()
         self.service_time = INITIAL_SERVICE_TIME
         self.has_service_time = False
@@ -105,7 +108,8 @@
         if previous is None or previous.start != report.start:
             self.failure_share = 0.0
             self.has_service_time = False
-            self.is_history_known = 0.0 <= age < KNOWN_AGE
+            known_age = KNOWN_AGE_SHARE * self.heartbeat_period
+            self.is_history_known = 0.0 <= age < known_age
             self.is_proven = self.is_history_known and self.rate_limit == math.inf
             self.rate_limit = math.inf
             self.states_leaving = False
--- a/knapweedlead/mesh/tests/harness.py
+++ b/knapweedlead/mesh/tests/harness.py
@@ -122,12 +122,24 @@
     """
 
     def __init__(
-        self, now=100.0, is_proven=True, started_at=0.0, age=math.inf, **report
+        self,
+        now=100.0,
+        is_proven=True,
+        started_at=0.0,
+        age=math.inf,
+        heartbeat_period=1.5,
+        **report,
     ):
         self.runner = RecordingRunner()
         self.sender = RecordingSender()
         self.guard = Guard(
-            "lines", "north", self.runner, NullRecorder(), lambda: None, started_at
+            "lines",
+            "north",
+            self.runner,
+            NullRecorder(),
+            lambda: None,
+            started_at,
+            heartbeat_period,
         )
         self.guard.apply_configuration(make_configuration(), frozenset(), now)
         self.guard.apply_report(make_report(**report), now, age)
--- a/knapweedlead/mesh/tests/test_guard.py
+++ b/knapweedlead/mesh/tests/test_guard.py
@@ -149,9 +149,27 @@
     assert started_at[0] == 0.0
 
 
-@pytest.mark.parametrize("age", [0.8, 20.0, -0.5, math.inf, math.nan])
-def test_cold_server_that_an_earlier_process_may_have_known_is_sent_a_second_burst(age):
-    harness = GuardHarness(started_at=100.0, age=age, slots=47, cold_remaining=3.0)
+@pytest.mark.parametrize(
+    ("age", "heartbeat_period"),
+    [
+        (0.8, 1.5),
+        (0.3, 0.5),
+        (20.0, 1.5),
+        (-0.5, 1.5),
+        (math.inf, 1.5),
+        (math.nan, 1.5),
+    ],
+)
+def test_cold_server_that_an_earlier_process_may_have_known_is_sent_a_second_burst(
+    age, heartbeat_period
+):
+    harness = GuardHarness(
+        started_at=100.0,
+        age=age,
+        heartbeat_period=heartbeat_period,
+        slots=47,
+        cold_remaining=3.0,
+    )
     assert not play_first_second(harness, 100.0)
 
 
--- a/knapweedlead/sidecar/_sidecar.py
+++ b/knapweedlead/sidecar/_sidecar.py
@@ -94,6 +94,7 @@
             self.recorder,
             self._on_guard_change,
             self.clock(),
+            settings.heartbeat_period,
         )
         self.runner.guard = self.guard
         self.caller_listener = CallerListener(self, settings.service)
