--- a/knapweedlead/sidecar/tests/test_fleet_tracker.py
+++ b/knapweedlead/sidecar/tests/test_fleet_tracker.py
@@ -6,7 +6,8 @@
 import attrs
 import pytest
 
-from knapweedlead.mesh import FleetChange, FleetState, Member, ServerState
+from knapweedlead.mesh import FleetChange, FleetState, Member, Reason, ServerState
+from knapweedlead.mesh.tests.harness import RecordingReplies, make_call
 from knapweedlead.platform.tests.fleets import CONFIGURATION, Fleet
 from knapweedlead.sidecar import Sidecar
 from knapweedlead.sidecar._wire import (
@@ -128,3 +129,27 @@
     count = tracker.fleet.recorder.count_by_name
     assert count["bad_input", "configuration_entry"] == 4
     assert tracker.fleet.entry.configuration.version == 9
+
+
+@pytest.mark.parametrize(
+    ("lead", "is_accepted"), [(-10.0, False), (-4.1, False), (-1.0, True), (5.0, True)]
+)
+def test_withdrawn_key_is_accepted_after_a_restart_on_the_word_of_a_peer_behind(
+    tracker, lead, is_accepted
+):
+    entry = tracker.fleet.entry
+    entry.replies = RecordingReplies()
+    requested_at = tracker.now - 0.01
+    state = PeerState(requested_at, lead, 5, False, ServerState())
+    tracker.fleet.handle_peer_state(state)
+    call = attrs.evolve(make_call("/read/1", "key-crew"), host="h.example")
+    entry.accept("x", call, tracker.now)
+    status, reason, _ = entry.replies.refusal_by_exchange["x"]
+    assert status in (429, 503)
+    assert (reason is not Reason.STALE_CONFIGURATION) == is_accepted
+
+
+def test_state_of_a_peer_behind_replaces_a_newer_one(tracker):
+    tracker.fleet.apply_state(FleetState(revision=4, configuration_revision=4), "peer")
+    assert tracker.fleet.state.revision == 5
+    assert tracker.fleet.entry.configuration.account_by_name
