--- a/knapweedlead/sidecar/_silent_connection.py
+++ b/knapweedlead/sidecar/_silent_connection.py
@@ -68,8 +68,8 @@
         if frame[0] not in CALL_OUTCOMES:
             return
         try:
-            self.numbers.discard(frame[1])
             deliver_outcome(self.host, self.target, frame, self.host.clock())
+            self.numbers.discard(frame[1])
         except Exception as error:
             self.host.record_fault("link", error)
             connection.abort("frame that cannot be handled")
--- a/knapweedlead/sidecar/tests/test_silent_peer.py
+++ b/knapweedlead/sidecar/tests/test_silent_peer.py
@@ -107,6 +107,15 @@
     assert peer.replies.refusal_by_exchange["x"][0] == 502
 
 
+async def test_call_hangs_after_a_malformed_answer_on_a_silent_connection():
+    peer = SilentPeer(is_idempotent=False)
+    await peer.pass_time(LOST_AFTER + 1.0)
+    peer.connection.on_frame(peer.connection, [FrameKind.ANSWER.value, 1, 200])
+    await asyncio.sleep(0.01)
+    assert peer.replies.refusal_by_exchange["x"][0] == 502
+    assert peer.connection.transport.is_closed
+
+
 async def test_silent_connection_outlives_the_deadline_of_its_calls():
     peer = SilentPeer(is_idempotent=False)
     await peer.pass_time(TIMEOUT + 2 * PROBE_PERIOD)
