--- a/knapweedlead/mesh/_guard.py
+++ b/knapweedlead/mesh/_guard.py
@@ -71,12 +71,7 @@
     ) -> bool:
         """Apply a heartbeat of the backend server; return whether it was new.
 
-        Parameters
-        ----------
-        report : ServerReport
-        now : float
-        age : float
-            Seconds since the start of the server; infinite if unknown.
+        See `ServerMonitor.apply_report`.
         """
         previous = self.monitor.server.report
         if not self.monitor.apply_report(report, now, age):
