--- a/review/1/play.py
+++ b/review/1/play.py
@@ -20,6 +20,7 @@
 """As many as the largest `big_config` of the site files adds."""
 REQUESTS_PER_S = 40.0
 """On each machine of service `front`; its six `wearlog` servers get 529 at a site."""
+BODY = b"{}"
 TIMEOUT_MS = 2000
 DEADLINE_S = 5.0
 HALF_SECOND = 0.5
@@ -28,11 +29,11 @@
 
 def routes(count):
     """Return the routes of the services, with a number of added ones."""
-    first = route("first", "safe", "front", timeout_ms=TIMEOUT_MS)
+    first = route("first", "unsafe", "front", timeout_ms=TIMEOUT_MS)
     lookup = route("lookup", "safe", "deep", timeout_ms=TIMEOUT_MS, priority=1)
     lookup["public"] = True
     added = [
-        route(f"added{number}", "safe", "front", timeout_ms=TIMEOUT_MS)
+        route(f"added{number}", "unsafe", "front", timeout_ms=TIMEOUT_MS)
         for number in range(count)
     ]
     return [first, lookup, *added]
@@ -41,7 +42,9 @@
 async def call_deep_first(server, headers, writer):
     """Make one call through the own machine, as servers may, and answer."""
     request_id = headers["knapweedlead-request-id"]
-    entry = await Caller(server.machine).call("GET", "/lookup/1", once=True)
+    left = int(headers["knapweedlead-deadline-ms"]) / 1000.0
+    caller = Caller(server.machine, key="")
+    entry = await caller.call("GET", "/lookup/1", deadline=left, once=True)
     answer = {
         "knapweedlead-request-id": request_id,
         "knapweedlead-response-seal": f"seal.{server.id}.{request_id}",
@@ -52,13 +55,16 @@
     await writer.drain()
 
 
-async def keep_reading(machine, count, rng, end, callers):
-    """Send requests on all added routes, or on the first one without any."""
+async def keep_filing(machine, count, rng, end, callers):
+    """Send requests on all added routes, or on the first one without any.
+
+    They aren't idempotent: clients don't give these up before their deadline.
+    """
     tasks = []
     while time.monotonic() < end:
         name = f"added{rng.randrange(count)}" if count else "first"
         callers.append(Caller(machine))
-        sending = callers[-1].call("GET", f"/{name}/1", deadline=DEADLINE_S, once=True)
+        sending = callers[-1].call("POST", f"/{name}/1", BODY, DEADLINE_S, once=True)
         tasks.append(asyncio.ensure_future(sending))
         await asyncio.sleep(rng.expovariate(REQUESTS_PER_S))
     await asyncio.gather(*tasks)
@@ -84,8 +90,8 @@
         end = time.monotonic() + PLAY_S
         tasks = []
         for machine in fronts:
-            reading = keep_reading(machine, count, rng, end, callers)
-            tasks.append(asyncio.ensure_future(reading))
+            filing = keep_filing(machine, count, rng, end, callers)
+            tasks.append(asyncio.ensure_future(filing))
         while time.monotonic() < end:
             await asyncio.sleep(2.0)
             ready = [await fleet.is_ready(machine) for machine in fronts]
--- a/review/lib/callers.py
+++ b/review/lib/callers.py
@@ -30,7 +30,7 @@
     async def call(self, method, path, body=b"", deadline=5.0, key=None, once=False):
         """Send a request on the kept connection; return its record.
 
-        With `once`, the connection is closed after the answer.
+        With `once`, the connection is closed after the answer. An empty key isn't sent.
         """
         number = next(_numbers)
         entry = {
@@ -50,8 +50,10 @@
             "host": "app.example",
             "knapweedlead-request-id": entry["id"],
             "knapweedlead-deadline-ms": str(int(deadline * 1000)),
-            "authorization": f"Token {self.key if key is None else key}",
         }
+        sent_key = self.key if key is None else key
+        if sent_key:
+            headers["authorization"] = f"Token {sent_key}"
         try:
             await asyncio.wait_for(
                 self._exchange(entry, method, path, headers, body), deadline + 0.5
