Sidecar: steps that occupy the event loop, or begin late, are logged and counted

Logs and metrics could not tell a step that runs long from a process that is paused, nor which step.

Change: each repetition of a periodic step that takes 0.1 s or more, or begins so late, is counted (loop.slow_steps) and logged (slow_step, with took_ms and late_ms).

--- a/knapweedlead/sidecar/_recorder.py
+++ b/knapweedlead/sidecar/_recorder.py
@@ -135,6 +135,23 @@
         self.count("faults", step)
         self.log("fault", step=step, error=repr(error), where=where)
 
+    def slow_step(self, step: str, took: float, late: float) -> None:
+        """Record a step that occupied the event loop, or that began late.
+
+        Parameters
+        ----------
+        step : str
+        took, late : float
+            Duration of the step, and delay of its start, in seconds.
+        """
+        self.count("loop.slow_steps", step)
+        self.log(
+            "slow_step",
+            step=step,
+            took_ms=int(took * _MS_PER_S),
+            late_ms=int(late * _MS_PER_S),
+        )
+
     # Calls at the entry.
 
     def sent(self, call: EntryCall, now: float) -> None:
--- a/knapweedlead/sidecar/_sidecar.py
+++ b/knapweedlead/sidecar/_sidecar.py
@@ -157,7 +157,9 @@
         )
         self.sync = StoreSync(self.fleet, self.store, local_member)
         self.is_stopping = False
-        self.periodic = PeriodicSteps(self.clock, self.record_fault)
+        self.periodic = PeriodicSteps(
+            self.clock, self.record_fault, self.recorder.slow_step
+        )
 
     # Start, reload and shutdown.
 
