--- a/knapweedlead/mesh/__init__.py
+++ b/knapweedlead/mesh/__init__.py
@@ -19,7 +19,7 @@
     Service,
     WeightedService,
 )
-from knapweedlead.mesh._demand import RouteDemand, slot_time_by_service
+from knapweedlead.mesh._demand import RouteDemand
 from knapweedlead.mesh._demand_exchange import (
     DemandExchange,
     DemandSum,
@@ -48,6 +48,7 @@
 from knapweedlead.mesh._server_notices import ServerNotice
 from knapweedlead.mesh._settings import MeshSettings
 from knapweedlead.mesh._shedding import ServiceLoad, Shedder
+from knapweedlead.mesh._slot_times import slot_time_by_service, slot_times_by_route
 from knapweedlead.mesh._stop_schedule import StopSchedule
 from knapweedlead.mesh._store import LeaseGrant, StorePurpose
 from knapweedlead.mesh._tickets import ServerState, Ticket
@@ -101,6 +102,7 @@
     "apply_change",
     "RouteDemand",
     "slot_time_by_service",
+    "slot_times_by_route",
     "ServiceLoad",
     "Shedder",
 ]
--- a/knapweedlead/mesh/_entry.py
+++ b/knapweedlead/mesh/_entry.py
@@ -57,7 +57,8 @@
     freshness : Freshness
     shedder : Shedder
     on_child_call : callable
-        Called with the route name of each call of the local backend server.
+        Called with the names of the route and of the service of each call of the local
+        backend server.
     replies : Replies
     recorder : Recorder
     rng : random.Random
@@ -82,7 +83,7 @@
         token_exchange: TokenExchange,
         freshness: Freshness,
         shedder: Shedder,
-        on_child_call: Callable[[str], None],
+        on_child_call: Callable[[str, str], None],
         replies: Replies,
         recorder: Recorder,
         rng: random.Random,
@@ -206,7 +207,7 @@
         """Shed a call that has its token, or send its first attempt."""
         call.has_token = call.account is not None
         if call.is_child:
-            self.on_child_call(call.route.name)
+            self.on_child_call(call.route.name, call.service)
         elif not self.shedder.admit(call.route.name, call.priority):
             self._shed(call, now)
             return
--- a/knapweedlead/mesh/_guard.py
+++ b/knapweedlead/mesh/_guard.py
@@ -60,7 +60,7 @@
         self.queue = QUEUES.create("priority_fair")
         self.running_by_run: dict[int, Ticket] = {}
         self.queued_by_run: dict[int, Ticket] = {}
-        self.demand = DemandModel()
+        self.demand = DemandModel(service)
         self._runs = 0
         self._paused_until = -math.inf
 
--- a/knapweedlead/mesh/tests/harness.py
+++ b/knapweedlead/mesh/tests/harness.py
@@ -260,7 +260,7 @@
             TokenExchange(self.quotas, lambda: lenders, rng),
             self.freshness,
             Shedder(rng),
-            self.children.append,
+            lambda route, service: self.children.append((route, service)),
             self.replies,
             NullRecorder(),
             rng,
--- a/knapweedlead/mesh/tests/test_entry.py
+++ b/knapweedlead/mesh/tests/test_entry.py
@@ -141,7 +141,7 @@
     harness = EntryHarness(configuration=make_configuration(accounts=[make_account()]))
     harness.entry.accept("x", make_call(), 1000.0)
     assert len(harness.sent()) == 1
-    assert harness.children == ["read"]
+    assert harness.children == [("read", "lines")]
 
 
 def test_token_of_a_call_that_was_not_run_is_refunded():
--- a/knapweedlead/mesh/tests/test_shedding.py
+++ b/knapweedlead/mesh/tests/test_shedding.py
@@ -68,7 +68,7 @@
             model.record_end(name)
             model.record_slot_time(name, slot_time)
         elif kind == "call":
-            model.record_child_call(name)
+            model.record_child_call(name, "middle")
         elif kind == "sample":
             model.sample(at)
         else:
@@ -76,7 +76,7 @@
 
 
 def test_child_calls_are_attributed_to_the_routes_that_make_them():
-    model = DemandModel()
+    model = DemandModel("front")
     rates = {"plain": 60.0, "ticket": 30.0, "lookup": 150.0}
     children = {"plain": 0, "ticket": 1, "lookup": 4}
     simulate_server(model, 20.0, random.Random(3), rates, children)
--- a/knapweedlead/sidecar/_load_tracker.py
+++ b/knapweedlead/sidecar/_load_tracker.py
@@ -7,7 +7,7 @@
     Guard,
     ServiceLoad,
     Target,
-    slot_time_by_service,
+    slot_times_by_route,
 )
 from knapweedlead.sidecar._links import Links
 from knapweedlead.sidecar._recorder import MeshRecorder
@@ -76,13 +76,7 @@
         configuration = self.entry.configuration
         if configuration is None:
             return
-        estimates = self.exchange.estimates
-        known = [configuration.route_by_name.get(name) for name in estimates]
-        slot_times = {
-            route.name: slot_time_by_service(route, configuration, estimates)
-            for route in known
-            if route is not None and not route.is_public
-        }
+        slot_times = slot_times_by_route(configuration, self.exchange.estimates)
         demand_of_others = self.exchange.demand_of_others(now)
         loads = {}
         for service, targets in self.targets_by_service.items():
