--- a/knapweedlead/http/_client.py
+++ b/knapweedlead/http/_client.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from knapweedlead.http._addresses import split_address
+from knapweedlead.http._budget import BufferBudget
 from knapweedlead.http._headers import request_bytes
 from knapweedlead.http._run import HttpAnswer, RunProtocol
 
@@ -13,7 +14,7 @@
 IDLE_FRACTION = 0.7
 """Fraction of the server's ``Keep-Alive`` timeout for which a connection is reused."""
 MAX_BUFFERED_BYTES = 32 * 1024 * 1024
-"""Bytes of unfinished answers that all connections of a client hold together."""
+"""Memory that the unfinished answers of a client take together."""
 CONNECT_TIMEOUT = 1.0
 """Time limit for opening a connection; callers use the same limit."""
 
@@ -47,9 +48,9 @@
         Number of answers discarded because their request ID was not that of the run.
     connections_opened : int
         Number of connections opened so far.
-    buffered_bytes : int
-        Bytes of the bodies of unfinished answers. The connection that exceeds
-        `max_buffered_bytes` with them is closed.
+    budget : BufferBudget
+        Memory of unfinished answers; if it is exceeded, the connection that holds most
+        of it is closed.
     """
 
     def __init__(
@@ -65,8 +66,7 @@
         self.accepts_close_delimited = accepts_close_delimited
         self.discarded_answers = 0
         self.connections_opened = 0
-        self.buffered_bytes = 0
-        self.max_buffered_bytes = MAX_BUFFERED_BYTES
+        self.budget: BufferBudget[RunProtocol] = BufferBudget(MAX_BUFFERED_BYTES)
         self.address = address
         self.max_connections = max_connections
         self.on_answer = on_answer
@@ -81,6 +81,11 @@
         """Number of connections that are open or being opened."""
         return self._connection_count
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Estimate of the memory that unfinished answers take."""
+        return self.budget.used
+
     def run(
         self,
         run: int,
@@ -190,10 +195,6 @@
         self._protocol_by_run[run] = protocol
         protocol.start(run, is_head, data, timeout, request_id)
 
-    def release_bytes(self, count: int) -> None:
-        """Record that bytes of an answer are no longer held."""
-        self.buffered_bytes -= count
-
     def cancel(self, run: int) -> None:
         """Cancel a run by closing its connection, or by cancelling the connect."""
         protocol = self._protocol_by_run.get(run)
--- a/knapweedlead/http/_run.py
+++ b/knapweedlead/http/_run.py
@@ -6,6 +6,7 @@
 import attrs
 import httptools
 
+from knapweedlead.http._body import BodyBuffer
 from knapweedlead.http._headers import add_header
 
 if TYPE_CHECKING:
@@ -14,7 +15,10 @@
 MAX_ANSWER_BYTES = 6 * 1024 * 1024
 """Size limit of an answer with its headers; must fit into a message on a link."""
 MAX_HEAD_BYTES = 64 * 1024
-"""Size limit of all bytes up to the end of the headers, with interim responses."""
+"""Size limit of all bytes up to the end of the headers, with interim responses, and of
+the bytes after that which add nothing to the body, such as trailers."""
+HEADER_OBJECT_BYTES = 160
+"""Memory that a header takes besides its bytes."""
 MAX_DISCARDED_ANSWERS = 8
 """Answers with another request ID that are discarded during one run."""
 
@@ -63,7 +67,6 @@
         self.transport: asyncio.Transport = None  # type: ignore[assignment]
         self.parser = httptools.HttpResponseParser(self)
         self.is_closed = False
-        self._buffered = 0
         self.idle_since = 0.0
         self.idle_timeout = 0.0
         self.run = 0
@@ -71,14 +74,16 @@
         self._has_served = False
         self._is_head = False
         self._discarded = 0
+        self._has_progressed = False
         self._detail = "connection lost"
         self._timer: asyncio.TimerHandle | None = None
         self._reset()
 
     def _reset(self) -> None:
         self._headers: dict[str, str] = {}
-        self._body: list[bytes] = []
+        self._body = BodyBuffer()
         self._size = 0
+        self._size_beside_body = 0
         self._status = 0
         self._keeps_alive = True
         self._is_complete = False
@@ -130,9 +135,11 @@
             self.abort("bytes without a request")
             return
         self._size += len(data)
+        self.client.budget.hold(self, len(data))
         if self._size > MAX_ANSWER_BYTES:
             self.abort("answer too large")
             return
+        self._has_progressed = False
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -142,12 +149,15 @@
             self._has_extra_bytes = True
         if self._is_complete:
             self._finish_run()
-        elif not self._status and self._size > MAX_HEAD_BYTES:
-            self.abort("answer head too large")
+            return
+        if not self._has_progressed:
+            self._size_beside_body += len(data)
+        if self._size_beside_body > MAX_HEAD_BYTES:
+            self.abort("answer head or framing too large")
         elif self._discarded > MAX_DISCARDED_ANSWERS:
             self.abort("too many answers to other requests")
-        elif self.client.buffered_bytes > self.client.max_buffered_bytes:
-            self.abort("answers too large in total")
+        elif self.client.budget.is_exceeded:
+            self.client.budget.largest().abort("answers too large in total")
 
     def on_message_begin(self) -> None:
         """Record whether another message follows the complete answer."""
@@ -158,6 +168,7 @@
         """Add a header, unless it is a trailer or follows the answer."""
         if not self._status and not self._is_complete:
             add_header(self._headers, name, value)
+            self.client.budget.hold(self, HEADER_OBJECT_BYTES)
 
     def on_headers_complete(self) -> None:
         """Read the status; skip interim responses, and complete the answer to HEAD."""
@@ -178,10 +189,9 @@
 
     def on_body(self, body: bytes) -> None:
         """Add a part of the body."""
+        self._has_progressed = True
         if not self._is_complete:
             self._body.append(body)
-            self._buffered += len(body)
-            self.client.buffered_bytes += len(body)
 
     def on_message_complete(self) -> None:
         """Mark the final answer as complete.
@@ -191,6 +201,7 @@
         if self._status and self._answers_other_request():
             self.client.discarded_answers += 1
             self._discarded += 1
+            self._has_progressed = True
             self._release()
             self._reset()
         elif self._status:
@@ -234,7 +245,7 @@
         self._has_served = True
         self._cancel_timer()
         self.idle_timeout = _keep_alive_timeout(self._headers)
-        answer = HttpAnswer(self._status, self._headers, b"".join(self._body))
+        answer = HttpAnswer(self._status, self._headers, self._body.take())
         self._release()
         if self._has_extra_bytes or not self._keeps_alive:
             self.abort("closed")
@@ -250,10 +261,10 @@
         self.client.connection_closed(self, run, self._detail)
 
     def _release(self) -> None:
-        """Give up the bytes of the answer."""
-        self._body = []
-        self.client.release_bytes(self._buffered)
-        self._buffered = 0
+        """Give up the memory of the answer."""
+        self._headers = {}
+        self._body = BodyBuffer()
+        self.client.budget.release(self)
 
     def _cancel_timer(self) -> None:
         if self._timer is not None:
--- a/knapweedlead/http/tests/test_endless_answers.py
+++ b/knapweedlead/http/tests/test_endless_answers.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import itertools
+import tracemalloc
 
 import pytest
 
@@ -36,6 +37,9 @@
     "chunk extension": (CHUNKED + b"5;", b"x" * 65536),
     "trailers": (CHUNKED + b"0\r\n", b"a: b\r\n" * 10000),
 }
+SMALL_CHUNKS = CHUNKED, b"2\r\nok\r\n" * 4000
+SLACK_BYTES = 1 << 20
+"""Memory of a few protocols and of the test itself."""
 NO_ANSWERS = {
     "zeros": b"\0" * 4096,
     "text": b"not an answer at all\r\n" * 100,
@@ -146,6 +150,91 @@
     assert first.client.buffered_bytes == 0
 
 
+@pytest.fixture
+def traced():
+    """Return a function that tells the bytes allocated since the start of the test."""
+    tracemalloc.start()
+    yield lambda: tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+
+
+async def test_small_chunks_take_no_more_memory_than_their_bytes(traced):
+    # Guards against bodies in chunks of a few bytes, of which each became an object.
+    runs = [Run()]
+    runs += [Run(runs[0].client) for _ in range(3)]
+    first, rest = SMALL_CHUNKS
+    received = 0
+    for run in runs:
+        run.protocol.data_received(first)
+    for _ in range(40):
+        for run in runs:
+            run.protocol.data_received(rest)
+            received += len(rest)
+    assert not any(run.protocol.is_closed for run in runs)
+    assert traced() < 1.25 * received + SLACK_BYTES
+
+
+async def test_many_bodies_in_small_chunks_share_one_limit(traced):
+    # Guards against a limit that counts bytes, not the memory that they take.
+    first, rest = SMALL_CHUNKS
+    runs = [Run()]
+    runs[0].client.budget.limit = 2 * SLACK_BYTES
+    runs += [Run(runs[0].client) for _ in range(15)]
+    for run in runs:
+        run.protocol.data_received(first)
+    for _ in range(20):
+        for run in runs:
+            if not run.protocol.is_closed:
+                run.protocol.data_received(rest)
+    assert any(run.protocol.is_closed for run in runs)
+    assert traced() < 1.25 * runs[0].client.budget.limit + SLACK_BYTES
+
+
+async def test_unfinished_heads_count_with_the_memory_of_their_headers(traced):
+    # Guards against heads of many short headers, of which each is an object.
+    runs = [Run()]
+    client = runs[0].client
+    client.budget.limit = 4 * SLACK_BYTES
+    runs += [Run(client) for _ in range(29)]
+    head = HEAD + b"".join(b"%x:\r\n" % number for number in range(0x1000, 0x3000))
+    for run in runs:
+        run.protocol.data_received(head)
+    assert any(run.protocol.is_closed for run in runs)
+    assert traced() < 1.25 * client.budget.limit + 2 * SLACK_BYTES
+
+
+async def test_largest_answer_is_cut_if_all_take_too_much():
+    # Guards against a sound answer that is cut for what another connection holds.
+    sound, endless = Run(request_id="mine"), None
+    endless = Run(sound.client)
+    sound.client.budget.limit = SLACK_BYTES
+    endless.protocol.data_received(HEAD + b"\r\n" + b"x" * SLACK_BYTES)
+    sound.protocol.data_received(HEAD + b"id: mine\r\ncontent-length: 3\r\n\r\ny")
+    assert endless.protocol.is_closed
+    sound.protocol.data_received(b"es")
+    (answer,) = sound.outcomes
+    assert answer.body == b"yes"
+
+
+@pytest.mark.parametrize("name", ["chunk extension", "trailers"])
+async def test_framing_without_end_is_cut_after_a_few_kilobytes(name):
+    # Guards against a trailer whose value grows, and is copied, with each part.
+    run = Run()
+    first, rest = ENDLESS_BODIES[name]
+    run.feed(first, rest, limit=2 * MAX_HEAD_BYTES + len(rest))
+    assert run.outcomes == [True]
+
+
+async def test_own_answer_behind_a_large_late_copy_is_accepted():
+    run = Run(request_id="mine")
+    late = HEAD + b"id: other\r\ncontent-length: 200000\r\n\r\n" + b"n" * 200000
+    own = HEAD + b"id: mine\r\ncontent-length: 3\r\n\r\nyes"
+    run.protocol.data_received(late + own[:20])
+    run.protocol.data_received(own[20:])
+    (answer,) = run.outcomes
+    assert answer.body == b"yes"
+
+
 @pytest.mark.parametrize(
     "name", ["body without a length", "headers", "chunks", "header value"]
 )
