--- a/knapweedlead/mesh/_configuration.py
+++ b/knapweedlead/mesh/_configuration.py
@@ -129,8 +129,9 @@
     account_by_name : dict of str to ClientAccount
     limits : RequestLimits
     requires_keys : bool
-        Whether calls on routes that are not public need a key even if no account
-        is known.
+        Whether calls on routes that are not public need a key even if there is no
+        account. It is true for a document with an empty list of accounts, so that
+        nobody is admitted after the last account is removed.
     problems : tuple of str
         Parts of the document that could not be decoded, each with the reason.
     """
--- a/knapweedlead/platform/_configuration.py
+++ b/knapweedlead/platform/_configuration.py
@@ -102,7 +102,7 @@
             service_by_name=service_by_name,
             account_by_name=account_by_name,
             limits=limits,
-            requires_keys=bool(accounts),
+            requires_keys="tenants" in document,
             problems=tuple(problems.details),
         )
     except _DECODE_ERRORS as error:
--- a/knapweedlead/platform/tests/test_decoders.py
+++ b/knapweedlead/platform/tests/test_decoders.py
@@ -210,6 +210,19 @@
     assert configuration.account_by_key == {}
 
 
+def test_keys_are_needed_although_the_list_of_accounts_is_empty():
+    # Guards against an empty list that is read like a missing one and admits everybody.
+    configuration = decode(CONFIGURATION | {"tenants": []})
+    assert configuration.needs_keys
+    assert configuration.account_by_key == {}
+
+
+def test_no_key_is_needed_without_a_list_of_accounts():
+    document = copy.deepcopy(CONFIGURATION)
+    del document["tenants"]
+    assert not decode(document).needs_keys
+
+
 def test_account_without_a_readable_rate_keeps_its_keys_but_is_unusable():
     account = CONFIGURATION["tenants"][0] | {"ratePerS": "unlimited"}
     configuration = decode(CONFIGURATION | {"tenants": [account]})
--- a/knapweedlead/platform/tests/test_whole_path.py
+++ b/knapweedlead/platform/tests/test_whole_path.py
@@ -49,6 +49,21 @@
         assert fleet.received("front") == []
 
 
+async def test_no_call_runs_after_the_last_account_is_removed():
+    # Guards against keys that work again, and any other key, once no account is left.
+    async with Fleet() as fleet:
+        fleet.store.write("op/config", with_version("r9", tenants=[]))
+        await fleet.wait_until(
+            lambda: all(s.entry.configuration.version == 9 for s in fleet.sidecars)
+        )
+        for index in range(4):
+            for key in ("key-crew", "key-never-held", ""):
+                answer = await fleet.call(index, "GET", "/read/1", key=key)
+                assert answer.status == 401
+            assert (await fleet.call(index, "GET", "/lookup/1", key="")).status == 200
+        assert fleet.received("front") == []
+
+
 async def test_newer_configuration_is_applied_on_every_daemon():
     async with Fleet() as fleet:
         tenants = [CONFIGURATION["tenants"][0] | {"apiKeys": ["key-new"]}]
