Configuration: a route with an empty list of backends is unusable

A route whose list of backends is empty, but which also names a service, sent its calls to that service; the list stands in place of the service and names none. A list of null counts as absent, as for other fields. The new test fails before. Whether operators write such an entry is not known.

--- a/knapweedlead/platform/_configuration.py
+++ b/knapweedlead/platform/_configuration.py
@@ -183,15 +183,17 @@
 
 
 def _decode_backends(entry: dict[str, Any]) -> tuple[WeightedService, ...]:
-    backends = entry.get("backends")
-    if not backends:
+    if entry.get("backends") is None:
         return (WeightedService(_read(entry, "service", _text), 1.0),)
+    backends = _read(entry, "backends", _list)
     parts = tuple(
         WeightedService(_read(part, "service", _text), _read(part, "weight", _amount))
         for part in backends
     )
     if not any(part.weight > 0.0 for part in parts):
-        raise ValueError(f"expected at least one weight above 0, got {backends!r}")
+        raise ValueError(
+            f"backends: expected at least one weight above 0, got {backends!r}"
+        )
     return parts
 
 
--- a/knapweedlead/platform/tests/test_decoders.py
+++ b/knapweedlead/platform/tests/test_decoders.py
@@ -236,6 +236,21 @@
     assert "services[0]" in configuration.problems[0]
 
 
+@pytest.mark.parametrize("service", ["front", None])
+def test_route_with_an_empty_list_of_backends_is_unusable(service):
+    # Guards against an empty list that is read like a missing one, so that calls reach
+    # a service that the operators do not name for them.
+    configuration = decode(with_route(backends=[], service=service))
+    assert not configuration.route_by_name["read"].is_usable
+    assert "backends" in configuration.problems[0]
+
+
+def test_route_without_backends_leads_to_its_service():
+    configuration = decode(with_route(backends=None))
+    (part,) = configuration.route_by_name["read"].services
+    assert part.service == "front"
+
+
 def newer(document):
     """Return a document with an unknown field in each object."""
     if isinstance(document, dict):
