Configuration: a cold rate of 0 is a limit

A service with a cold start and a rate of 0 calls a second to cold servers was read like one without a rate, so that its cold servers got any number of calls. Now they get none until they are warm. If the service has no cold start either, the rate means nothing and stays without a limit. The new test fails before.

--- a/knapweedlead/platform/_configuration.py
+++ b/knapweedlead/platform/_configuration.py
@@ -206,12 +206,15 @@
 
 
 def _decode_service(entry: dict[str, Any]) -> Service:
+    cold_start = _read(entry, "coldStartS", _amount, 0.0)
+    cold_rate = _read(entry, "coldPerS", _amount, math.inf)
+    has_cold_start = cold_start > 0.0 or cold_rate > 0.0
     return Service(
         name=_read(entry, "name", _text),
         health_path=_read(entry, "healthPath", _text),
         max_connections=_read(entry, "maxConnections", _count),
-        cold_start=_read(entry, "coldStartS", _amount, 0.0),
-        cold_rate=_read(entry, "coldPerS", _amount, 0.0) or math.inf,
+        cold_start=cold_start,
+        cold_rate=cold_rate if has_cold_start else math.inf,
     )
 
 
--- a/knapweedlead/platform/tests/test_decoders.py
+++ b/knapweedlead/platform/tests/test_decoders.py
@@ -251,6 +251,20 @@
     assert part.service == "front"
 
 
+@pytest.mark.parametrize(
+    ("cold_start", "cold_rate", "expected"),
+    [(3.0, 0, 0.0), (3.0, 40.0, 40.0), (0, 0, math.inf), (0, 5.0, 5.0)],
+)
+def test_cold_rate_of_zero_is_a_limit_unless_there_is_no_cold_start(
+    cold_start, cold_rate, expected
+):
+    # Guards against a rate of 0 that is read like a missing one, i.e. as no limit.
+    service = CONFIGURATION["services"][0]
+    service = service | {"coldStartS": cold_start, "coldPerS": cold_rate}
+    configuration = decode(CONFIGURATION | {"services": [service]})
+    assert configuration.service_by_name["front"].cold_rate == expected
+
+
 def newer(document):
     """Return a document with an unknown field in each object."""
     if isinstance(document, dict):
