Configuration: an empty key of a damaged account matches no call

An account with a damaged field keeps its readable keys, and an empty text counted as one. A call without a key then belonged to that account and got 503 in place of 401. The new test fails before.

--- a/knapweedlead/platform/_configuration.py
+++ b/knapweedlead/platform/_configuration.py
@@ -256,7 +256,7 @@
     readable = keys if isinstance(keys, list) else []
     return ClientAccount(
         name=_text(entry["name"]),
-        keys=tuple(key for key in readable if isinstance(key, str)),
+        keys=tuple(key for key in readable if isinstance(key, str) and key),
         priority=None,
         rate=0.0,
         burst=0.0,
--- a/knapweedlead/platform/tests/test_decoders.py
+++ b/knapweedlead/platform/tests/test_decoders.py
@@ -265,6 +265,13 @@
     assert configuration.service_by_name["front"].cold_rate == expected
 
 
+def test_empty_key_of_a_damaged_account_matches_no_call_without_a_key():
+    # Guards against a call without a key that is taken for one of that account.
+    account = CONFIGURATION["tenants"][0] | {"ratePerS": None, "apiKeys": ["", "k"]}
+    configuration = decode(CONFIGURATION | {"tenants": [account]})
+    assert set(configuration.account_by_key) == {"k"}
+
+
 def newer(document):
     """Return a document with an unknown field in each object."""
     if isinstance(document, dict):
