Requests: a deadline that has passed, or is repeated, is not read as none

A negative number of milliseconds, or two values of the header, were read like a request without a deadline, so that the call got the whole time of its route. A passed deadline is now 0, and the lowest of several values holds. Values that cannot be read are ignored as before, since the route limits the time too. Four of the eleven new cases fail before.

--- a/knapweedlead/platform/_requests.py
+++ b/knapweedlead/platform/_requests.py
@@ -117,11 +117,17 @@
 
 
 def _parse_timeout(headers: dict[str, str]) -> float:
+    """Return the seconds that the caller waits; infinite if the request has no limit.
+
+    The lowest of several limits holds. A limit that has passed is 0. An unreadable one
+    is ignored, since the route has a limit of its own.
+    """
     try:
-        timeout = float(headers[DEADLINE]) / _MS_PER_S
+        parts = headers[DEADLINE].split(",")
+        timeout = min(float(part) for part in parts) / _MS_PER_S
     except (KeyError, ValueError):
         return math.inf
-    return timeout if timeout >= 0.0 else math.inf
+    return math.inf if math.isnan(timeout) else max(0.0, timeout)
 
 
 def _parse_key(headers: dict[str, str]) -> str | None:
--- a/knapweedlead/platform/tests/test_decoders.py
+++ b/knapweedlead/platform/tests/test_decoders.py
@@ -85,6 +85,32 @@
         assert b"\r\n\r\n" not in decoded.ok_value.head
 
 
+@pytest.mark.parametrize(
+    ("header", "timeout"),
+    [
+        (None, math.inf),
+        ("1500", 1.5),
+        ("0", 0.0),
+        ("-1", 0.0),
+        ("-1e400", 0.0),
+        ("900, 300", 0.3),
+        ("300, 900", 0.3),
+        ("", math.inf),
+        ("soon", math.inf),
+        ("nan", math.inf),
+        ("1e400", math.inf),
+    ],
+)
+def test_deadline_that_has_passed_or_is_repeated_gives_no_more_time(header, timeout):
+    # Guards against a deadline in the past, or several, that are read like a missing
+    # one, so that a server works on a call for which nobody waits.
+    headers = {"host": "h", "knapweedlead-request-id": "r"}
+    if header is not None:
+        headers["knapweedlead-deadline-ms"] = header
+    call = decode_call("GET", "/a/", headers, b"", "s").ok_value
+    assert call.caller_timeout == timeout
+
+
 def test_invalid_members_and_other_keys_are_ignored():
     member = Member("a", "10.0.0.1:7000", "s", "z")
     valid = encode_member(member, 7) | {"revision": 3}
