--- /dev/null
+++ b/knapweedlead/checks/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the checks package."""
--- a/knapweedlead/mesh/__init__.py
+++ b/knapweedlead/mesh/__init__.py
@@ -34,6 +34,7 @@
     FleetState,
     Member,
     apply_change,
+    checked_member,
 )
 from knapweedlead.mesh._freshness import Freshness
 from knapweedlead.mesh._guard import Guard
@@ -103,6 +104,7 @@
     "RouteDemand",
     "slot_time_by_service",
     "slot_times_by_route",
+    "checked_member",
     "ServiceLoad",
     "Shedder",
 ]
--- a/knapweedlead/mesh/_fleet_state.py
+++ b/knapweedlead/mesh/_fleet_state.py
@@ -1,9 +1,12 @@
 """Fleet-wide state from the store, and changes to it."""
 
 from collections.abc import Iterable
+from typing import Any
 
 import attrs
 
+from knapweedlead.checks import check_address, check_name
+
 
 @attrs.frozen
 class Member:
@@ -15,6 +18,24 @@
     data_centre: str
 
 
+def checked_member(
+    name: Any, link_address: Any, service: Any, data_centre: Any
+) -> Member:
+    """Return a member from fields that another program has written.
+
+    Raises
+    ------
+    ValueError
+        If a name cannot be encoded, or no connection can be opened to the address.
+    """
+    return Member(
+        check_name(name),
+        check_address(link_address),
+        check_name(service),
+        check_name(data_centre),
+    )
+
+
 @attrs.frozen
 class FleetState:
     """Configuration, evacuated data centres and members, as of a store revision.
--- a/knapweedlead/platform/_keys.py
+++ b/knapweedlead/platform/_keys.py
@@ -6,11 +6,13 @@
 
 import attrs
 
-from knapweedlead.mesh import FleetChange, Member
+from knapweedlead.checks import check_count, check_name
+from knapweedlead.mesh import FleetChange, Member, checked_member
 
 CONFIGURATION_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
 MEMBER_PREFIX = "members/"
+_MEMBER_FIELDS = tuple(field.name for field in attrs.fields(Member))
 UNDECODABLE = b"{}"
 """Document without a version, in place of a configuration that is not base64."""
 
@@ -18,7 +20,8 @@
 def decode_changes(entries: list[dict[str, Any]], revision: int) -> FleetChange:
     """Decode store items, or events in the order of their revisions.
 
-    Keys of other writers and invalid members are ignored.
+    Keys of other writers, invalid members and data centres without a proper name are
+    ignored.
 
     Parameters
     ----------
@@ -40,13 +43,16 @@
             # A value that is no text becomes a document that cannot be decoded, so
             # that the configuration counts as changed.
             configuration = _decode_value(entry.get("value")) or UNDECODABLE
-            configuration_revision = int(entry["revision"])
+            configuration_revision = _decode_revision(entry, revision)
         elif key.startswith(EVACUATION_PREFIX):
-            evacuated[key.removeprefix(EVACUATION_PREFIX)] = not is_deleted
+            data_centre = key.removeprefix(EVACUATION_PREFIX)
+            if _is_name(data_centre):
+                evacuated[data_centre] = not is_deleted
         elif key.startswith(MEMBER_PREFIX):
             name = key.removeprefix(MEMBER_PREFIX)
             value = entry.get("value")
-            members[name] = None if is_deleted else _decode_member(name, value)
+            if _is_name(name):
+                members[name] = None if is_deleted else _decode_member(name, value)
     return FleetChange(
         revision=revision,
         configuration=configuration,
@@ -70,15 +76,30 @@
         return b""
 
 
+def _decode_revision(entry: dict[str, Any], latest: int) -> int:
+    """Return the revision of an entry; the latest one if it cannot be read."""
+    try:
+        return check_count(entry.get("revision"))
+    except ValueError:
+        return latest
+
+
+def _is_name(text: str) -> bool:
+    try:
+        check_name(text)
+    except ValueError:
+        return False
+    return True
+
+
 def _decode_member(name: str, value: Any) -> Member | None:
     """Return the member in a value, without fields of later versions."""
     try:
         document = json.loads(_decode_value(value))
-        fields = {field.name: document[field.name] for field in attrs.fields(Member)}
+        member = checked_member(*(document[field] for field in _MEMBER_FIELDS))
     except (ValueError, TypeError, KeyError, RecursionError):
         return None
-    is_text = all(isinstance(field, str) for field in fields.values())
-    return Member(**fields) if is_text and fields["name"] == name else None
+    return member if member.name == name else None
 
 
 def encode_member(member: Member, lease: int) -> dict[str, Any]:
--- /dev/null
+++ b/knapweedlead/platform/tests/test_odd_entries.py
@@ -0,0 +1,152 @@
+"""One odd entry of another writer, at each reader of the store and of peers.
+
+The entry is deeply nested, holds a number that is too large, a port out of range, or
+text that cannot be encoded. It must cost no more than itself: daemons run on, stay in
+the fleet, and follow later changes.
+"""
+
+import asyncio
+import base64
+import json
+
+import attrs
+import pytest
+
+from knapweedlead.mesh import Member
+from knapweedlead.platform._keys import decode_changes, encode_member
+from knapweedlead.platform.tests.fleets import CONFIGURATION, Fleet
+
+DEPTH = 100_000
+MEMBER = Member("odd", "127.0.0.1:7006", "front", "north")
+
+
+def member_value(**changes):
+    """Return the value of a member's entry, with changed fields."""
+    return json.dumps(attrs.asdict(MEMBER) | changes).encode()
+
+
+def nested_member(field):
+    """Return a member's value with a deeply nested list in a field."""
+    nested = b"[" * DEPTH + b"]" * DEPTH
+    return member_value(**{field: "NESTED"}).replace(b'"NESTED"', nested)
+
+
+ODD_VALUES = {
+    "nested lists": b"[" * DEPTH,
+    "nested objects": b'{"a":' * DEPTH + b"1" + b"}" * DEPTH,
+    "nested field": nested_member("service"),
+    "nested address": nested_member("link_address"),
+    "unknown nested field": nested_member("added"),
+    "integer of 5000 digits": member_value(service=7).replace(b"7", b"7" * 5000),
+    "infinite number": member_value(service=7).replace(b": 7", b": 1e999"),
+    "number as a name": member_value(name=10**400),
+    "port above the range": member_value(link_address="127.0.0.1:70000"),
+    "port far above the range": member_value(link_address=f"127.0.0.1:{10**30}"),
+    "port 0": member_value(link_address="127.0.0.1:0"),
+    "negative port": member_value(link_address="127.0.0.1:-1"),
+    "port of 5000 digits": member_value(link_address="127.0.0.1:" + "7" * 5000),
+    "port in words": member_value(link_address="127.0.0.1:http"),
+    "port in other digits": member_value(link_address="127.0.0.1:\u0667\u0660\u0660"),
+    "no port": member_value(link_address="127.0.0.1"),
+    "empty address": member_value(link_address=""),
+    "host name": member_value(link_address="odd.example:7006"),
+    "address of no host": member_value(link_address="0.0.0.0:7006"),
+    "empty service": member_value(service=""),
+    "surrogate in the service": member_value(service="\ud800"),
+    "surrogate in the data centre": member_value(data_centre="\ud800"),
+    "control characters": member_value(service="a\r\nb\x00"),
+    "long text": member_value(service="x" * 500_000),
+    "no value": b"",
+    "bytes": bytes(range(256)),
+}
+ODD_KEYS = {
+    "surrogate in the name": ("members/\ud800", member_value(name="\ud800")),
+    "empty name": ("members/", member_value(name="")),
+    "control characters in the name": (
+        "members/a\nb",
+        member_value(name="a\nb"),
+    ),
+    "odd evacuation": ("op/evacuate/\ud800", b"{}"),
+    "evacuation without a name": ("op/evacuate/", b"{}"),
+    "odd key": ("\ud800", b""),
+    "nested value of another key": ("servers/odd", b"[" * DEPTH),
+}
+
+
+def faults(fleet):
+    """Return the unexpected exceptions counted by all daemons."""
+    return {
+        (sidecar.settings.name, label): count
+        for sidecar in fleet.sidecars
+        for (name, label), count in sidecar.recorder.count_by_name.items()
+        if name == "faults"
+    }
+
+
+async def follows_changes(fleet, version):
+    """Wait until all daemons have applied a new version; fail if one does not."""
+    document = CONFIGURATION | {"version": f"r{version}"}
+    fleet.store.write("op/config", json.dumps(document).encode())
+    await fleet.wait_until(
+        lambda: all(
+            s.entry.configuration and s.entry.configuration.version == version
+            for s in fleet.sidecars
+        ),
+        6.0,
+    )
+
+
+async def check_whole(fleet, version):
+    """Check that all daemons serve, follow changes, and know their live peers."""
+    await follows_changes(fleet, version)
+    await fleet.wait_until(lambda: all(fleet.is_ready(s) for s in fleet.sidecars), 6.0)
+    for index in range(len(fleet.sidecars)):
+        answer = await fleet.call(index, "GET", "/read/1", request_id=f"r{version}")
+        assert answer.status == 200
+    assert fleet.registered_count() >= len(fleet.sidecars)
+
+
+def odd_names(fleet):
+    """Return the members that daemons take from the odd entry."""
+    known = {name for s in fleet.sidecars for name in s.fleet.state.member_by_name}
+    return known - {s.settings.name for s in fleet.sidecars}
+
+
+@pytest.mark.parametrize("name", sorted(ODD_VALUES))
+def test_odd_entry_names_no_member(name):
+    entry = {
+        "key": "members/odd",
+        "value": base64.b64encode(ODD_VALUES[name]).decode(),
+        "revision": 5,
+    }
+    valid = encode_member(attrs.evolve(MEMBER, name="valid"), 7) | {"revision": 6}
+    change = decode_changes([entry, valid], 6)
+    assert [member.name for member in change.joined] == ["valid"]
+
+
+async def test_odd_entries_in_the_store_cost_no_more_than_themselves():
+    # Guards against daemons that stop following the store, lose their links or fail at
+    # each message to a peer, for one entry of another writer.
+    async with Fleet() as fleet:
+        for number, value in enumerate(ODD_VALUES.values()):
+            key = f"members/odd-{number}"
+            fleet.store.write(key, value.replace(b'"odd"', b'"odd-%d"' % number))
+        for key, value in ODD_KEYS.values():
+            fleet.store.write(key, value)
+        await check_whole(fleet, 9)
+        fleet.store.compact()
+        await check_whole(fleet, 10)
+        await fleet.restart(1)
+        await check_whole(fleet, 11)
+        assert not odd_names(fleet)
+        assert not faults(fleet)
+
+
+async def test_odd_entry_in_place_of_its_own_removes_no_daemon():
+    async with Fleet() as fleet:
+        for value in ODD_VALUES.values():
+            value = value.replace(b'"odd"', b'"daemon-3"')
+            fleet.store.write("members/daemon-3", value)
+            await asyncio.sleep(0.02)
+        await check_whole(fleet, 9)
+        assert not faults(fleet)
--- a/knapweedlead/sidecar/_outgoing_link.py
+++ b/knapweedlead/sidecar/_outgoing_link.py
@@ -125,7 +125,10 @@
                     host,
                     port,
                 )
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
+            # The last two are raised for an address that is none.
+            if not isinstance(error, OSError):
+                self.host.record_fault("link.open", error)
             self.reconnect_at = self.host.clock() + RECONNECT_DELAY
         finally:
             self.opening = None
