Store answers: odd numbers are errors, and a page without items is not the last one

- A page that announces further ones but has no items was read as the end of the list, so that a daemon that starts would take all members of later pages for gone.
Now the read has failed, and is repeated.
- A page whose last entry has no key ended the read with an error for as long as the entry existed; now the last key that can be read counts.
- A key that cannot be encoded in a URL raised outside the decoding.
- A revision or lease time beyond a float raised OverflowError, and nested JSON RecursionError, past the typed errors of the client.
- A configuration of no bytes counted as unchanged with a newer revision; the field decides.

Whether a store sends such pages is not known.

--- a/knapweedlead/mesh/_fleet_state.py
+++ b/knapweedlead/mesh/_fleet_state.py
@@ -95,13 +95,15 @@
     member_by_name = _without(state.member_by_name, change.left)
     member_by_name |= {member.name: member for member in change.joined}
     evacuated = state.evacuated - frozenset(change.returned)
-    is_new = change.configuration is not None
+    configuration = state.configuration
+    configuration_revision = state.configuration_revision
+    if change.configuration is not None:
+        configuration = change.configuration
+        configuration_revision = change.configuration_revision
     return FleetState(
         revision=max(state.revision, change.revision),
-        configuration=change.configuration or state.configuration,
-        configuration_revision=(
-            change.configuration_revision if is_new else state.configuration_revision
-        ),
+        configuration=configuration,
+        configuration_revision=configuration_revision,
         evacuated=evacuated | frozenset(change.evacuated),
         member_by_name=member_by_name,
     )
--- a/knapweedlead/platform/_store.py
+++ b/knapweedlead/platform/_store.py
@@ -4,12 +4,14 @@
 import itertools
 import json
 from collections.abc import Callable
+from functools import partial
 from typing import Any, TypeVar
 from urllib.parse import urlencode
 
 import attrs
 from result import Err, Ok, Result
 
+from knapweedlead.checks import check_amount, check_count, check_list, describe
 from knapweedlead.errors import StoreError, StoreFault
 from knapweedlead.http import BackendServerClient, HttpAnswer
 from knapweedlead.mesh import (
@@ -33,6 +35,8 @@
 _GONE = 410
 
 
+_DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
+
 _Decoded = TypeVar("_Decoded")
 
 
@@ -79,13 +83,15 @@
         after = ""
         while True:
             query = {"prefix": ""} | ({"after": after} if after else {})
-            path = f"/-/kv-range?{urlencode(query)}"
+            path = f"/-/kv-range?{urlencode(query, errors='surrogatepass')}"
             result = await self._call(
                 "GET", path, None, StorePurpose.START, self.timeout
             )
             if isinstance(result, Err):
                 return result
-            decoded = self._interpret("store.kv-range", result.ok_value, _decode_page)
+            decoded = self._interpret(
+                "store.kv-range", result.ok_value, partial(_decode_page, after=after)
+            )
             if isinstance(decoded, Err):
                 return decoded
             page = decoded.ok_value
@@ -112,7 +118,7 @@
         return self._interpret(
             "store.kv-watch",
             result.ok_value,
-            lambda page: decode_changes(page["events"], int(page["at"])),
+            lambda page: decode_changes(page["events"], check_count(page["at"])),
         )
 
     async def grant_lease(self, duration: float) -> Result[LeaseGrant, StoreError]:
@@ -127,7 +133,7 @@
             "store.kv-lease",
             result.ok_value,
             lambda answer: LeaseGrant(
-                int(answer["lease"]), float(answer["ttlMs"]) / _MS_PER_S
+                check_count(answer["lease"]), check_amount(answer["ttlMs"]) / _MS_PER_S
             ),
         )
 
@@ -195,7 +201,7 @@
         """Return the decoded answer; an error if it has another form than expected."""
         try:
             return Ok(decode(answer))
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
+        except _DECODE_ERRORS as error:
             detail = f"bad answer: {type(error).__name__}: {error}"
             fault = StoreFault.UNKNOWN_OUTCOME
             return Err(StoreError(step, self.address, detail, fault))
@@ -218,7 +224,7 @@
         if answer.status == _OK:
             try:
                 return Ok(json.loads(answer.body) if answer.body else {})
-            except ValueError as error:
+            except (ValueError, RecursionError) as error:
                 fault, detail = StoreFault.UNKNOWN_OUTCOME, f"bad answer: {error}"
         else:
             fault = _FAULT_BY_STATUS.get(answer.status, StoreFault.UNAVAILABLE)
@@ -227,11 +233,21 @@
         return Err(StoreError(step, self.address, detail, fault))
 
 
-def _decode_page(page: dict[str, Any]) -> _Page:
-    entries = list(page["items"])
-    has_more = bool(page["hasMore"]) and bool(entries)
-    next_after = str(entries[-1]["key"]) if has_more else ""
-    return _Page(entries, int(page["at"]), next_after)
+def _decode_page(page: dict[str, Any], after: str) -> _Page:
+    """Decode a page of items; the next one begins after its last key.
+
+    Raises
+    ------
+    ValueError
+        If there are more pages, but this one does not lead to the next one.
+    """
+    entries = check_list(page["items"])
+    keys = [entry.get("key") for entry in entries if isinstance(entry, dict)]
+    last = next((key for key in reversed(keys) if isinstance(key, str)), "")
+    has_more = bool(page["hasMore"])
+    if has_more and last in ("", after):
+        raise ValueError(f"expected items after {describe(after)}, got none")
+    return _Page(entries, check_count(page["at"]), last if has_more else "")
 
 
 _FAULT_BY_STATUS = {
