Heartbeats: absurd numbers, and a start in the future, do not reach the decisions

Before: slots or a sequence of any size were taken (10**400 slots are announced to all peers, where the sum of the capacities raises in each update of the loads); a start time beyond a float raised in the handler; a cold time without end was taken, so that the server stayed cold until its next start; and a start time in the far future replaced the server, whose own heartbeats, all of an earlier start, were then ignored for good (read, not played, in the review's report).

A start that lies more than a minute in the future replaces no server that sends heartbeats, and any other start replaces it; it is logged. A server is still used if its machine's clock was set back.

A heartbeat with a plausible later start from another writer cannot be told from a restart: open.

--- a/knapweedlead/mesh/__init__.py
+++ b/knapweedlead/mesh/__init__.py
@@ -46,6 +46,7 @@
 from knapweedlead.mesh._reports import BackendServer, ServerReport
 from knapweedlead.mesh._retry_budget import RetryBudget
 from knapweedlead.mesh._roster import Roster
+from knapweedlead.mesh._server_monitor import MAX_CLOCK_LEAD
 from knapweedlead.mesh._server_notices import ServerNotice
 from knapweedlead.mesh._settings import MeshSettings
 from knapweedlead.mesh._shedding import ServiceLoad, Shedder
@@ -55,6 +56,7 @@
 from knapweedlead.mesh._tickets import ServerState, Ticket
 
 __all__ = [
+    "MAX_CLOCK_LEAD",
     "PROBE_PERIOD",
     "PLACEMENTS",
     "Outbox",
--- a/knapweedlead/mesh/_server_monitor.py
+++ b/knapweedlead/mesh/_server_monitor.py
@@ -25,6 +25,9 @@
 """Calls that run concurrently until the first answer of a server, or the first one to
 this daemon, and that are sent without a pause until then. Only an answer tells whether
 the server limits its rate or leaves."""
+MAX_CLOCK_LEAD = 60.0
+"""Seconds by which the start of a server may lie in the future of this machine's clock,
+which may have been set back."""
 KNOWN_AGE_SHARE = 1.0 / 3.0
 """Age of a server, as a fraction of the heartbeat period, up to which its first
 heartbeat at this process shows that no earlier process knew the server: an earlier one
@@ -87,6 +90,7 @@
         self._limited_at = -math.inf
         self._answered_at = -math.inf
         self._is_stalled = False
+        self._is_implausible = False
 
     # Observations.
 
@@ -95,6 +99,10 @@
     ) -> bool:
         """Apply a heartbeat; return whether it was new.
 
+        A start that is said to lie in the future replaces no server that sends
+        heartbeats, and is replaced by any other start: it may be the entry of another
+        writer, which would shut out the server for good.
+
         Parameters
         ----------
         report : ServerReport
@@ -103,9 +111,18 @@
             Seconds since the start of the server; infinite if unknown.
         """
         previous = self.server.report
+        is_other_start = previous is not None and previous.start != report.start
+        is_implausible = age < -MAX_CLOCK_LEAD
+        if is_other_start:
+            if is_implausible and now - self.server.reported_at <= UNRESPONSIVE_AFTER:
+                return False
+            if self._is_implausible and not is_implausible:
+                left_at = self.server.left_at_by_instance
+                self.server = BackendServer(left_at_by_instance=left_at)
         if not self.server.apply_report(report, now):
             return False
-        if previous is None or previous.start != report.start:
+        if previous is None or is_other_start:
+            self._is_implausible = is_implausible
             self.failure_share = 0.0
             self.has_service_time = False
             known_age = KNOWN_AGE_SHARE * self.heartbeat_period
--- a/knapweedlead/platform/_heartbeats.py
+++ b/knapweedlead/platform/_heartbeats.py
@@ -1,15 +1,19 @@
 """Decoding of the heartbeats of backend servers."""
 
 import json
-from typing import Any
 
 from result import Err, Ok, Result
 
+from knapweedlead.checks import check_amount, check_count, check_name
 from knapweedlead.errors import CodecError
 from knapweedlead.mesh import ServerReport
 
 HEARTBEAT_PATH = "/-/Instances.Heartbeat/"
 DEREGISTER_PATH = "/-/Instances.Deregister/"
+MAX_SLOTS = 1_000_000
+"""Largest number of slots that a server may state."""
+MAX_COLD_REMAINING = 24 * 3600.0
+"""Longest cold start that a server may state, in seconds."""
 
 _MS_PER_S = 1000.0
 _IS_DRAINING_BY_STATE = {"ready": False, "draining": True}
@@ -22,17 +26,16 @@
         info = document["info"]
         status = document["status"]
         report = ServerReport(
-            instance=instance,
-            service=_non_empty_text(info["service"]),
-            address=_non_empty_text(document["address"]),
-            data_centre=_non_empty_text(info["zone"]),
-            version=_non_empty_text(info["version"]),
-            slots=_non_negative_int(info["slots"]),
+            instance=check_name(instance),
+            service=check_name(info["service"]),
+            address=check_name(document["address"]),
+            data_centre=check_name(info["zone"]),
+            version=check_name(info["version"]),
+            slots=check_count(info["slots"], MAX_SLOTS),
             is_draining=_IS_DRAINING_BY_STATE[status["state"]],
-            sequence=_non_negative_int(status["sequence"]),
-            cold_remaining=_non_negative_number(status.get("coldRemainingMs", 0))
-            / _MS_PER_S,
-            born=_non_negative_int(document.get("born", 0)),
+            sequence=check_count(status["sequence"]),
+            cold_remaining=_cold_remaining(status.get("coldRemainingMs", 0)),
+            born=check_count(document.get("born", 0)),
         )
     except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
         detail = f"{type(error).__name__}: {error}"
@@ -40,19 +43,8 @@
     return Ok(report)
 
 
-def _non_empty_text(value: Any) -> str:
-    if not isinstance(value, str) or not value:
-        raise ValueError(f"expected a non-empty string, got {value!r}")
-    return value
-
-
-def _non_negative_int(value: Any) -> int:
-    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
-        raise ValueError(f"expected a non-negative integer, got {value!r}")
-    return value
-
-
-def _non_negative_number(value: Any) -> float:
-    if isinstance(value, bool) or not isinstance(value, (int, float)) or value < 0:
-        raise ValueError(f"expected a non-negative number, got {value!r}")
-    return float(value)
+def _cold_remaining(milliseconds: object) -> float:
+    seconds = check_amount(milliseconds) / _MS_PER_S
+    if seconds > MAX_COLD_REMAINING:
+        raise ValueError(f"expected at most {MAX_COLD_REMAINING} s, got {seconds} s")
+    return seconds
--- a/knapweedlead/platform/tests/test_odd_entries.py
+++ b/knapweedlead/platform/tests/test_odd_entries.py
@@ -15,6 +15,7 @@
 from knapweedlead.mesh import Member
 from knapweedlead.platform._keys import decode_changes, encode_member
 from knapweedlead.platform.tests.fleets import CONFIGURATION, Fleet
+from knapweedlead.platform.tests.standin_server import request
 
 DEPTH = 100_000
 MEMBER = Member("odd", "127.0.0.1:7006", "front", "north")
@@ -150,3 +151,61 @@
             await asyncio.sleep(0.02)
         await check_whole(fleet, 9)
         assert not faults(fleet)
+
+
+def heartbeat(server, **changes):
+    """Return the body of a heartbeat for the address of a server, with changes."""
+    document = {
+        "address": server.announced_address,
+        "born": server.born,
+        "info": {
+            "service": server.service,
+            "version": "v1",
+            "zone": server.data_centre,
+            "slots": server.slots,
+        },
+        "status": {"state": "ready", "sequence": 7, "coldRemainingMs": 0},
+    }
+    for path, value in changes.items():
+        part, _, field = path.rpartition("__")
+        (document[part] if part else document)[field] = value
+    return json.dumps(document).encode()
+
+
+NESTED = b"[" * DEPTH + b"]" * DEPTH
+ODD_FIELDS = {
+    "slots too large": {"info__slots": 10**400},
+    "slots far too many": {"info__slots": 10**15},
+    "born too large": {"born": 10**400},
+    "born in the far future": {"born": 10**15},
+    "sequence too large": {"status__sequence": 10**400},
+    "cold for ever": {"status__coldRemainingMs": 10**400},
+    "cold for an infinite time": {"status__coldRemainingMs": float("inf")},
+    "cold for no number": {"status__coldRemainingMs": float("nan")},
+    "cold for years": {"status__coldRemainingMs": 1e15},
+    "negative slots": {"info__slots": -1},
+    "surrogate": {"info__version": "\ud800"},
+    "nested": {"info__version": "NESTED"},
+    "nested in an unknown field": {"added": "NESTED"},
+}
+
+
+async def test_odd_heartbeats_cost_no_more_than_themselves():
+    # Guards against a heartbeat of another writer that ends its handler, shuts out the
+    # server, or whose numbers make peers fail.
+    async with Fleet() as fleet:
+        server = fleet.servers[0]
+        sidecar = fleet.sidecars[0]
+        guard = sidecar.guard
+        for name, changes in ODD_FIELDS.items():
+            body = heartbeat(server, **changes).replace(b'"NESTED"', NESTED)
+            for instance in ("i-odd", server.instance):
+                path = f"/-/Instances.Heartbeat/{instance}"
+                data = request("POST", path, {}, body)
+                answer = await fleet.send(sidecar.settings.report_address, data)
+                assert answer.status in (200, 400), name
+                assert guard.monitor.server.report.instance == server.instance, name
+                assert guard.limit == server.slots, name
+                assert not guard.is_cold(sidecar.clock()), name
+        await check_whole(fleet, 9)
+        assert not faults(fleet)
--- a/knapweedlead/sidecar/_sidecar.py
+++ b/knapweedlead/sidecar/_sidecar.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from knapweedlead.mesh import (
+    MAX_CLOCK_LEAD,
     PLACEMENTS,
     PROBE_PERIOD,
     Call,
@@ -314,6 +315,9 @@
         now = self.clock()
         before = self.guard.state(now)
         age = read_time_of_day() - report.born / 1000.0
+        if age < -MAX_CLOCK_LEAD:
+            detail = f"instance {report.instance} was born in {-age:.0f} s"
+            self.recorder.bad_input("heartbeat", detail)
         self.guard.apply_report(report, now, age)
         after = self.guard.state(now)
         if (before.instance, before.is_open, before.is_cold) != (
