Configuration: text that cannot be sent, or nested, makes its own entry unusable only

Change: names are printable and short, those of accounts fit into a header, and error texts describe any value in at most some 80 characters (package `checks`, in place of the module's own checks).

--- a/knapweedlead/platform/_configuration.py
+++ b/knapweedlead/platform/_configuration.py
@@ -12,6 +12,15 @@
 
 from result import Err, Ok, Result
 
+from knapweedlead.checks import (
+    check_amount,
+    check_flag,
+    check_header_name,
+    check_list,
+    check_name,
+    check_text,
+    describe,
+)
 from knapweedlead.errors import CodecError
 from knapweedlead.mesh import (
     ClientAccount,
@@ -89,9 +98,9 @@
     try:
         document = json.loads(value)
         version = _decode_version(document["version"])
-        hosts = _list(document["virtualHosts"])
-        services = _list(document["services"])
-        accounts = _list(document.get("tenants", []))
+        hosts = check_list(document["virtualHosts"])
+        services = check_list(document["services"])
+        accounts = check_list(document.get("tenants", []))
         routes = _decode_routes(hosts, problems)
         service_by_name = _decode_services(services, problems)
         account_by_name = _decode_accounts(accounts, problems)
@@ -113,7 +122,7 @@
 
 def _decode_version(text: str) -> int:
     if not text.startswith(_VERSION_PREFIX):
-        raise ValueError(f"expected a version such as r12, got {text!r}")
+        raise ValueError(f"expected a version such as r12, got {describe(text)}")
     return int(text[len(_VERSION_PREFIX) :])
 
 
@@ -121,7 +130,7 @@
     routes = []
     for number, entry in enumerate(hosts):
         try:
-            host, paths = _text(entry["host"]), _list(entry["paths"])
+            host, paths = check_name(entry["host"]), check_list(entry["paths"])
         except _DECODE_ERRORS as error:
             problems.add(f"virtualHosts[{number}]", error)
             continue
@@ -136,7 +145,9 @@
             if route is None:
                 continue
             if route.is_usable and path["kind"] not in _IS_IDEMPOTENT_BY_KIND:
-                detail = f"unknown kind {path['kind']!r}, taken as not idempotent"
+                detail = (
+                    f"unknown kind {describe(path['kind'])}, taken as not idempotent"
+                )
                 problems.add(where, detail)
             routes.append(route)
     return routes
@@ -144,9 +155,9 @@
 
 def _decode_route(host: str, entry: dict[str, Any]) -> Route:
     # A kind of a later version may have an effect, so it counts as not idempotent.
-    is_idempotent = _IS_IDEMPOTENT_BY_KIND.get(_read(entry, "kind", _text), False)
+    is_idempotent = _IS_IDEMPOTENT_BY_KIND.get(_read(entry, "kind", check_text), False)
     return Route(
-        name=_read(entry, "name", _text),
+        name=_read(entry, "name", check_name),
         host=host,
         prefix=_read(entry, "prefix", _prefix),
         services=_decode_backends(entry),
@@ -155,7 +166,7 @@
         target_latency=_read(entry, "targetLatencyMs", _seconds),
         priority=_read(entry, "priority", _count, 0),
         max_attempts=_read(entry, "maxAttempts", _count, 1),
-        is_public=_read(entry, "public", _flag, False),
+        is_public=_read(entry, "public", check_flag, False),
     )
 
 
@@ -184,15 +195,17 @@
 
 def _decode_backends(entry: dict[str, Any]) -> tuple[WeightedService, ...]:
     if entry.get("backends") is None:
-        return (WeightedService(_read(entry, "service", _text), 1.0),)
-    backends = _read(entry, "backends", _list)
+        return (WeightedService(_read(entry, "service", check_name), 1.0),)
+    backends = _read(entry, "backends", check_list)
     parts = tuple(
-        WeightedService(_read(part, "service", _text), _read(part, "weight", _amount))
+        WeightedService(
+            _read(part, "service", check_name), _read(part, "weight", check_amount)
+        )
         for part in backends
     )
     if not any(part.weight > 0.0 for part in parts):
         raise ValueError(
-            f"backends: expected at least one weight above 0, got {backends!r}"
+            f"backends: expected at least one weight above 0, got {describe(backends)}"
         )
     return parts
 
@@ -206,12 +219,12 @@
 
 
 def _decode_service(entry: dict[str, Any]) -> Service:
-    cold_start = _read(entry, "coldStartS", _amount, 0.0)
-    cold_rate = _read(entry, "coldPerS", _amount, math.inf)
+    cold_start = _read(entry, "coldStartS", check_amount, 0.0)
+    cold_rate = _read(entry, "coldPerS", check_amount, math.inf)
     has_cold_start = cold_start > 0.0 or cold_rate > 0.0
     return Service(
-        name=_read(entry, "name", _text),
-        health_path=_read(entry, "healthPath", _text),
+        name=_read(entry, "name", check_name),
+        health_path=_read(entry, "healthPath", check_text),
         max_connections=_read(entry, "maxConnections", _count),
         cold_start=cold_start,
         cold_rate=cold_rate if has_cold_start else math.inf,
@@ -221,7 +234,7 @@
 def _cautious_service(entry: dict[str, Any]) -> Service:
     """Return a service whose servers receive few calls while they are cold."""
     return Service(
-        name=_text(entry["name"]),
+        name=check_name(entry["name"]),
         health_path="/",
         max_connections=UNKNOWN_MAX_CONNECTIONS,
         cold_start=UNKNOWN_COLD_START,
@@ -242,11 +255,11 @@
 def _decode_account(entry: dict[str, Any]) -> ClientAccount:
     has_priority = entry.get("priority") is not None
     return ClientAccount(
-        name=_read(entry, "name", _text),
+        name=_read(entry, "name", check_header_name),
         keys=_read(entry, "apiKeys", _texts),
         priority=_read(entry, "priority", _count) if has_priority else None,
-        rate=_read(entry, "ratePerS", _amount, 0.0),
-        burst=_read(entry, "burst", _amount, 0.0),
+        rate=_read(entry, "ratePerS", check_amount, 0.0),
+        burst=_read(entry, "burst", check_amount, 0.0),
     )
 
 
@@ -255,7 +268,7 @@
     keys = entry.get("apiKeys")
     readable = keys if isinstance(keys, list) else []
     return ClientAccount(
-        name=_text(entry["name"]),
+        name=check_name(entry["name"]),
         keys=tuple(key for key in readable if isinstance(key, str) and key),
         priority=None,
         rate=0.0,
@@ -267,7 +280,7 @@
 def _decode_limits(entry: Any, problems: _Problems) -> RequestLimits:
     default = RequestLimits()
     if not isinstance(entry, dict):
-        problems.add("limits", f"expected an object, got {entry!r}")
+        problems.add("limits", f"expected an object, got {describe(entry)}")
         return default
 
     def read(name: str, decode: Callable[[Any], _Entry], fallback: _Entry) -> _Entry:
@@ -311,45 +324,22 @@
         raise ValueError(f"{field}: {error}") from error
 
 
-def _text(value: Any) -> str:
-    if not isinstance(value, str) or not value:
-        raise ValueError(f"expected a non-empty string, got {value!r}")
-    return value
-
-
-def _list(value: Any) -> list[Any]:
-    if not isinstance(value, list):
-        raise ValueError(f"expected a list, got {value!r}")
-    return value
-
-
 def _texts(value: Any) -> tuple[str, ...]:
-    return tuple(_text(part) for part in _list(value))
-
-
-def _flag(value: Any) -> bool:
-    if not isinstance(value, bool):
-        raise ValueError(f"expected true or false, got {value!r}")
-    return value
-
-
-def _amount(value: Any) -> float:
-    is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
-    if not is_number or not 0.0 <= value < math.inf:
-        raise ValueError(f"expected a number of at least 0, got {value!r}")
-    return float(value)
+    return tuple(check_text(part) for part in check_list(value))
 
 
 def _count(value: Any) -> int:
-    return int(_amount(value))
+    return int(check_amount(value))
 
 
 def _seconds(value: Any) -> float:
-    return _amount(value) / _MS_PER_S
+    return check_amount(value) / _MS_PER_S
 
 
 def _prefix(value: Any) -> str:
-    prefix = _text(value)
+    prefix = check_text(value)
     if not (prefix.startswith("/") and prefix.endswith("/")):
-        raise ValueError(f"expected a prefix with slashes at both ends, got {prefix!r}")
+        raise ValueError(
+            f"expected a prefix with slashes at both ends, got {describe(prefix)}"
+        )
     return prefix
--- a/knapweedlead/platform/tests/test_decoders.py
+++ b/knapweedlead/platform/tests/test_decoders.py
@@ -291,6 +291,38 @@
     assert configuration.service_by_name["front"].cold_rate == expected
 
 
+@pytest.mark.parametrize("name", ["\ud800", "a\r\nb", "\u0141", "x" * 500])
+def test_account_whose_name_cannot_be_sent_is_unusable(name):
+    # Guards against an account whose name raises in each message and each hash.
+    odd = CONFIGURATION["tenants"][0] | {"name": name, "apiKeys": ["key-odd"]}
+    document = CONFIGURATION | {"tenants": [*CONFIGURATION["tenants"], odd]}
+    configuration = decode(document)
+    account = configuration.account_by_key.get("key-odd")
+    assert account is None or not account.is_usable
+    assert configuration.account_by_key["key-crew"].is_usable
+    assert "tenants[1]" in configuration.problems[0]
+
+
+@pytest.mark.parametrize("field", ["name", "prefix", "service", "kind"])
+def test_route_with_text_that_cannot_be_encoded_is_unusable(field):
+    configuration = decode(with_route(**{field: "/\ud800/"}))
+    unusable = [route for route in configuration.routes if not route.is_usable]
+    if field in ("name", "service"):
+        assert len(unusable) == 1
+    assert len(configuration.routes) == len(decode(CONFIGURATION).routes)
+
+
+def test_deeply_nested_part_affects_its_entry_only():
+    # Guards against an error text that fails for the value that it describes.
+    nested = []
+    for _ in range(800):
+        nested = [nested]
+    document = with_route(priority=nested) | {"limits": nested}
+    configuration = decode(document)
+    assert len(configuration.problems) == 2
+    assert all(len(problem) < 300 for problem in configuration.problems)
+
+
 def test_empty_key_of_a_damaged_account_matches_no_call_without_a_key():
     # Guards against a call without a key that is taken for one of that account.
     account = CONFIGURATION["tenants"][0] | {"ratePerS": None, "apiKeys": ["", "k"]}
