Links: a frame that cannot be decoded costs no more than itself

Change: frames are decoded by typed functions (`sidecar/_frame_decoders.py`) that raise a FrameError and nothing else. Such a frame is ignored, counted and logged (bad_input, link). Members that cannot be decoded are left out of a frame. A call that cannot be decoded is refused as not run; an outcome that cannot be decoded ends its call as unknown.

Found on the way: an answer to a request for the fleet's state leaves the configuration out if the asker knows it. If a newer one became known meanwhile, decompressing nothing raised and closed the link ("empty" read as a value). Such a state is outdated and ignored now.

Replaced: test_frame_that_cannot_be_handled_closes_its_link_only asked that a frame that cannot be decoded closes the link. In its place the link must stay open, with the same call served, and a new test keeps that an unexpected exception in a handler closes its link only.

--- a/knapweedlead/mesh/__init__.py
+++ b/knapweedlead/mesh/__init__.py
@@ -53,7 +53,7 @@
 from knapweedlead.mesh._slot_times import slot_time_by_service, slot_times_by_route
 from knapweedlead.mesh._stop_schedule import StopSchedule
 from knapweedlead.mesh._store import LeaseGrant, StorePurpose
-from knapweedlead.mesh._tickets import ServerState, Ticket
+from knapweedlead.mesh._tickets import Sender, ServerState, Ticket
 
 __all__ = [
     "MAX_CLOCK_LEAD",
@@ -85,6 +85,7 @@
     "ServerAnswer",
     "ServerNotice",
     "ServerReport",
+    "Sender",
     "ServerState",
     "Service",
     "Target",
@@ -103,6 +104,7 @@
     "RelayPeer",
     "TokenExchange",
     "apply_change",
+    "checked_member",
     "RouteDemand",
     "slot_time_by_service",
     "slot_times_by_route",
--- a/knapweedlead/platform/tests/test_odd_entries.py
+++ b/knapweedlead/platform/tests/test_odd_entries.py
@@ -7,15 +7,17 @@
 
 import asyncio
 import base64
+import itertools
 import json
 
 import attrs
 import pytest
 
-from knapweedlead.mesh import Member
+from knapweedlead.mesh import Member, ServerState
 from knapweedlead.platform._keys import decode_changes, encode_member
 from knapweedlead.platform.tests.fleets import CONFIGURATION, Fleet
 from knapweedlead.platform.tests.standin_server import request
+from knapweedlead.sidecar._wire import FrameKind
 
 DEPTH = 100_000
 MEMBER = Member("odd", "127.0.0.1:7006", "front", "north")
@@ -209,3 +211,185 @@
                 assert not guard.is_cold(sidecar.clock()), name
         await check_whole(fleet, 9)
         assert not faults(fleet)
+
+
+HUGE = 10**400
+ODD_NUMBERS = [HUGE, -1, float("inf"), float("nan"), "x", None, [], {}]
+
+
+def state_frames():
+    """Return frames with the state of a daemon, each with one odd field."""
+    server = ServerState("i-odd", "deep", True, 0, 0, 10, 0.05)
+    frame = [FrameKind.STATE.value, 0.0, 0.0, 1, False, *attrs.astuple(server)]
+    return [
+        [*frame[:index], value, *frame[index + 1 :]]
+        for index in range(1, len(frame))
+        for value in ODD_NUMBERS
+    ]
+
+
+def fleet_frames():
+    """Return frames about the members and the configuration, each with an odd part."""
+    rows = [
+        list(attrs.astuple(attrs.evolve(MEMBER, **changes)))
+        for changes in (
+            {"link_address": "127.0.0.1:70000"},
+            {"link_address": "odd.example:7006"},
+            {"link_address": HUGE},
+            {"name": 7},
+            {"service": [[]]},
+        )
+    ]
+    states = [[FrameKind.FLEET_STATE.value, 10**6, 5, b"", [], [row]] for row in rows]
+    states += [
+        [FrameKind.FLEET_STATE.value, revision, 5, b"", [], []]
+        for revision in (HUGE, -1, "x", None, [])
+    ]
+    states += [
+        [FrameKind.FLEET_STATE.value, 10**6, 10**6, configuration, [], []]
+        for configuration in (b"", b"x", "x", None)
+    ]
+    states += [[FrameKind.FLEET_STATE.value, 10**6, 5, b"", 7, []]]
+    changes = [
+        [FrameKind.FLEET_CHANGE.value, 0, 1, 0, [], [], [row], []] for row in rows
+    ]
+    changes += [
+        [FrameKind.FLEET_CHANGE.value, base, revision, 0, [], [], [], left]
+        for base, revision, left in (
+            (HUGE, HUGE, []),
+            ("x", 10**6, []),
+            (0, "x", []),
+            (0, 10**6, 7),
+            (0, 10**6, [[]]),
+        )
+    ]
+    return [*states, *changes]
+
+
+def demand_frames():
+    """Return frames about demand, each with an odd part."""
+    rows = [{"read": [0.1, {"check": value}, 1.0]} for value in ODD_NUMBERS]
+    rows += [{"read": [value, {}, 1.0]} for value in ODD_NUMBERS]
+    rows += [{"read": value} for value in ODD_NUMBERS]
+    rows += [{7: [0.1, {}, 1.0]}, {"read": [0.1, {7: 1.0}, 1.0]}]
+    demands = [{"deep": value} for value in ODD_NUMBERS] + [{7: 1.0}, 7]
+    kinds = (
+        FrameKind.DEMAND_REPORT,
+        FrameKind.DEMAND_PEER_SUM,
+        FrameKind.DEMAND_FLEET_SUM,
+    )
+    return [
+        [kind.value, "daemon-1", demand, row]
+        for kind in kinds
+        for demand, row in (
+            *((demand, {}) for demand in demands),
+            *(({}, row) for row in rows),
+        )
+    ]
+
+
+def token_frames():
+    """Return frames about tokens, each with an odd part."""
+    kind = FrameKind.TOKEN_GRANT.value
+    grants = [[kind, "crew", value, True, 0.0] for value in ODD_NUMBERS]
+    grants += [[kind, "crew", 1, True, value] for value in ODD_NUMBERS]
+    grants += [[kind, value, 1, True, 0.0] for value in ODD_NUMBERS]
+    kind = FrameKind.TOKEN_REQUEST.value
+    requests = [[kind, "crew", value, True] for value in ODD_NUMBERS]
+    requests += [[kind, value, 1, True] for value in ODD_NUMBERS]
+    return [*grants, *requests]
+
+
+def other_frames():
+    """Return frames of the other kinds that carry no call, each with an odd part."""
+    probes = [[FrameKind.PROBE.value, value] for value in ODD_NUMBERS]
+    probes += [[FrameKind.PROBE.value, 1.0, value, "north"] for value in ODD_NUMBERS]
+    probes += [[FrameKind.PROBE.value, 1.0, "odd", value] for value in ODD_NUMBERS]
+    wanted = [[FrameKind.FLEET_STATE_REQUEST.value, value] for value in ODD_NUMBERS]
+    departures = [
+        [FrameKind.SERVER_DEPARTED.value, *fields]
+        for value in ODD_NUMBERS
+        for fields in ((value, 1), ("i", value))
+    ]
+    short = [[kind.value] for kind in FrameKind]
+    unknown = [[kind] for kind in (99, HUGE, -1, None, [], {}, "x", 1.5)]
+    return [*probes, *wanted, *departures, *short, *unknown]
+
+
+FRAMES = {
+    "state": state_frames,
+    "fleet": fleet_frames,
+    "demand": demand_frames,
+    "tokens": token_frames,
+    "others": other_frames,
+}
+
+
+@pytest.mark.parametrize("name", sorted(FRAMES))
+async def test_odd_message_of_a_peer_costs_no_more_than_itself(name):
+    # Guards against a daemon that loses its links, or what it knows, for one message.
+    async with Fleet() as fleet:
+        first = fleet.sidecars[0]
+        name_of_peer = fleet.sidecars[1].settings.name
+        link = first.links.outgoing_by_name[name_of_peer]
+        accepted = next(
+            connection
+            for connection, each in first.links.accepted.items()
+            if each.peer_name == name_of_peer
+        )
+        for frame in FRAMES[name]():
+            first.links.outgoing_by_name[name_of_peer]._on_frame(
+                link.connection, list(frame)
+            )
+            first.links._on_frame(accepted, list(frame))
+            assert link.connection is not None, frame
+            assert not link.connection.is_closed, frame
+            assert accepted in first.links.accepted, frame
+        await check_whole(fleet, 9)
+        assert not odd_names(fleet)
+        assert not faults(fleet)
+
+
+CALL = [
+    *(FrameKind.CALL.value, 77, "r-odd", "front", "read", "crew", 2),
+    *(True, 1.0, b"GET /read/1 HTTP/1.1\r\n", b"", False),
+]
+
+
+async def test_odd_calls_of_a_peer_are_refused_as_not_run():
+    async with Fleet() as fleet:
+        first = fleet.sidecars[0]
+        accepted = next(iter(first.links.accepted))
+        sent = []
+        accepted.send = sent.append
+        for index, value in itertools.product(range(2, len(CALL)), ODD_NUMBERS):
+            frame = [*CALL[:index], value, *CALL[index + 1 :]]
+            first.links._on_frame(accepted, frame)
+            assert accepted in first.links.accepted, frame
+        outcomes = [frame for frame in sent if frame[0] == FrameKind.FAILURE]
+        assert len(outcomes) > len(CALL)
+        for _, number, reason, may_have_run, was_sent, *_ in outcomes:
+            assert number == 77
+            assert not may_have_run or was_sent, reason
+        assert not faults(fleet)
+
+
+async def test_odd_answer_of_a_peer_ends_its_call_only():
+    async with Fleet() as fleet:
+        for server in fleet.servers:
+            server.service_time = 0.3
+        first = fleet.sidecars[0]
+        calls = [
+            asyncio.ensure_future(fleet.call(0, "GET", "/lookup/1", request_id=f"r{n}"))
+            for n in range(4)
+        ]
+        await fleet.wait_until(lambda: len(first.entry.call_by_number) == 4)
+        number, call = next(iter(first.entry.call_by_number.items()))
+        link = call.target.channel
+        for headers in (7, None, "x"):
+            frame = [FrameKind.ANSWER.value, number, 200, headers, b"", 0, 0, 0.0, 0.0]
+            link._on_frame(link.connection, frame)
+        answers = await asyncio.gather(*calls)
+        assert all(answer.status == 200 for answer in answers)
+        assert link.connection is not None
+        assert not faults(fleet)
--- a/knapweedlead/sidecar/_frames.py
+++ b/knapweedlead/sidecar/_frames.py
@@ -15,6 +15,7 @@
 MAX_WRITE_BUFFER_BYTES = 32 * 1024 * 1024
 """Unsent bytes at which the link to a peer that does not read is closed."""
 
+_DECODE_ERRORS = (ValueError, EOFError, OverflowError, RecursionError, MemoryError)
 _LENGTH = struct.Struct(">I")
 
 
@@ -85,7 +86,7 @@
     def _decode(self, data: bytes) -> None:
         try:
             frame = cbor2.loads(data)
-        except (cbor2.CBORDecodeError, ValueError, EOFError) as error:
+        except (cbor2.CBORError, *_DECODE_ERRORS) as error:
             self.abort(f"bad frame: {type(error).__name__}")
             return
         if not isinstance(frame, list) or not frame:
--- a/knapweedlead/sidecar/_link_host.py
+++ b/knapweedlead/sidecar/_link_host.py
@@ -66,5 +66,8 @@
     def record_link_change(self, name: str, is_up: bool, detail: str) -> None:
         """Log that a link was opened or lost."""
 
+    def record_bad_frame(self, peer: str, error: ValueError) -> None:
+        """Count and log a frame of a peer that cannot be decoded."""
+
     def record_fault(self, step: str, error: BaseException) -> None:
         """Count and log an unexpected exception."""
--- a/knapweedlead/sidecar/_outgoing_link.py
+++ b/knapweedlead/sidecar/_outgoing_link.py
@@ -15,6 +15,16 @@
     ServerState,
     Target,
 )
+from knapweedlead.sidecar._frame_decoders import (
+    FrameError,
+    decode_change,
+    decode_demand,
+    decode_fleet_state,
+    decode_kind,
+    decode_number,
+    decode_peer_state,
+    decode_token_grant,
+)
 from knapweedlead.sidecar._frames import FrameConnection
 from knapweedlead.sidecar._link_host import LinkHost
 from knapweedlead.sidecar._silent_connection import (
@@ -22,14 +32,7 @@
     SilentConnection,
     deliver_outcome,
 )
-from knapweedlead.sidecar._wire import (
-    FrameKind,
-    PeerState,
-    call_frame,
-    decode_change,
-    decode_demand,
-    decode_fleet_state,
-)
+from knapweedlead.sidecar._wire import FrameKind, PeerState, call_frame
 
 CONNECT_TIMEOUT = 1.0
 """Seconds until opening a link times out."""
@@ -181,6 +184,8 @@
     def _on_frame(self, connection: FrameConnection, frame: list[Any]) -> None:
         try:
             self._handle_frame(frame)
+        except FrameError as error:
+            self.host.record_bad_frame(self.name, error)
         except Exception as error:
             self.host.record_fault("link", error)
             connection.abort("frame that cannot be handled")
@@ -188,15 +193,16 @@
     def _handle_frame(self, frame: list[Any]) -> None:
         now = self.host.clock()
         self.monitor.record_message(now)
-        kind = frame[0]
+        kind = decode_kind(frame)
         if kind in CALL_OUTCOMES:
-            self._pending_calls.discard(frame[1])
+            self._pending_calls.discard(decode_number(frame))
             deliver_outcome(self.host, self.target, frame, now)
         elif kind == FrameKind.STATE:
-            self._handle_state(PeerState.from_frame(frame))
+            self._handle_state(decode_peer_state(frame))
         elif kind == FrameKind.FLEET_STATE:
             state = decode_fleet_state(frame, self.host.fleet.state)
-            self.host.fleet.apply_state(state, self.member.name)
+            if state is not None:
+                self.host.fleet.apply_state(state, self.member.name)
         elif kind == FrameKind.FLEET_CHANGE:
             base, change = decode_change(frame)
             if self.host.fleet.apply_peer_change(base, change, self.member.name):
@@ -205,7 +211,7 @@
             sender, total = decode_demand(frame)
             self.host.demand_exchange.receive_fleet_sum(sender, total, now)
         elif kind == FrameKind.TOKEN_GRANT:
-            self.host.receive_tokens(*frame[1:5])
+            self.host.receive_tokens(*decode_token_grant(frame))
 
     def _handle_state(self, state: PeerState) -> None:
         if not self.target.is_up:
--- a/knapweedlead/sidecar/_serving.py
+++ b/knapweedlead/sidecar/_serving.py
@@ -4,22 +4,25 @@
 import math
 from typing import Any
 
-from knapweedlead.mesh import EntryCall, Failure, ServerAnswer, Target, Ticket
-from knapweedlead.sidecar._frames import FrameConnection
-from knapweedlead.sidecar._link_host import LinkHost
-from knapweedlead.sidecar._wire import (
-    FrameKind,
+from knapweedlead.mesh import EntryCall, Failure, Reason, ServerAnswer, Target, Ticket
+from knapweedlead.sidecar._frame_decoders import (
+    FrameError,
+    decode_call,
     decode_demand,
-    failure_frame,
-    fleet_state_frame,
+    decode_departure,
+    decode_kind,
+    decode_number,
+    decode_probe,
+    decode_state_request,
+    decode_token_request,
 )
+from knapweedlead.sidecar._frames import FrameConnection
+from knapweedlead.sidecar._link_host import LinkHost
+from knapweedlead.sidecar._wire import FrameKind, failure_frame, fleet_state_frame
 
 STATE_PERIOD = 1.5
 """Seconds after which a state follows an answer. A link that carries answers is not
 probed, and an answer does not tell how fast the backend server is."""
-_SHORT_PROBE_FIELDS = 3
-"""Fields of a probe with the sender's name but without its data centre; probes after
-the first one of a link have neither."""
 
 
 class AcceptedLink:
@@ -42,29 +45,30 @@
         self._probe_received_at = 0.0
 
     def on_frame(self, frame: list[Any]) -> None:
-        """Handle a frame from the peer."""
-        kind = frame[0]
+        """Handle a frame from the peer; one that cannot be decoded is ignored."""
+        try:
+            self._handle_frame(frame)
+        except FrameError as error:
+            self.host.record_bad_frame(self.peer_name, error)
+
+    def _handle_frame(self, frame: list[Any]) -> None:
+        kind = decode_kind(frame)
         if kind == FrameKind.CALL:
             self._handle_call(frame)
         elif kind == FrameKind.CANCEL:
-            ticket = self.ticket_by_number.pop(frame[1], None)
-            if ticket is not None:
-                self.host.guard.cancel(ticket, self.host.clock())
+            self._handle_cancel(frame)
         elif kind == FrameKind.PROBE:
-            self._probe_sent_at = frame[1]
-            self._probe_received_at = self.host.clock()
-            if len(frame) > _SHORT_PROBE_FIELDS:
-                self._identify(*frame[2:4])
-            self.send_state()
+            self._handle_probe(frame)
         elif kind == FrameKind.FLEET_STATE_REQUEST:
-            self.connection.send(fleet_state_frame(self.host.fleet.state, frame[1]))
+            known = decode_state_request(frame)
+            self.connection.send(fleet_state_frame(self.host.fleet.state, known))
         elif kind == FrameKind.TOKEN_REQUEST:
-            account, wanted, is_important = frame[1:4]
+            account, wanted, is_important = decode_token_request(frame)
             lent, retry_after = self.host.lend_tokens(account, wanted, is_important)
             kind = FrameKind.TOKEN_GRANT.value
             self.connection.send([kind, account, lent, is_important, retry_after])
         elif kind == FrameKind.SERVER_DEPARTED:
-            self.host.handle_departure(self.peer_name, *frame[1:3])
+            self.host.handle_departure(self.peer_name, *decode_departure(frame))
         elif kind == FrameKind.DEMAND_REPORT:
             sender, part = decode_demand(frame)
             exchange = self.host.demand_exchange
@@ -74,6 +78,19 @@
             exchange = self.host.demand_exchange
             exchange.receive_peer_sum(sender, part, self.host.clock())
 
+    def _handle_cancel(self, frame: list[Any]) -> None:
+        ticket = self.ticket_by_number.pop(decode_number(frame), None)
+        if ticket is not None:
+            self.host.guard.cancel(ticket, self.host.clock())
+
+    def _handle_probe(self, frame: list[Any]) -> None:
+        sent_at, name, data_centre = decode_probe(frame)
+        self._probe_sent_at = sent_at
+        self._probe_received_at = self.host.clock()
+        if name:
+            self._identify(name, data_centre)
+        self.send_state()
+
     def _identify(self, name: str, data_centre: str) -> None:
         """Record which daemon opened the link."""
         self.peer_name = name
@@ -83,22 +100,14 @@
 
     def _handle_call(self, frame: list[Any]) -> None:
         now = self.host.clock()
-        _, number, request_id, service, route, account, priority, *rest = frame
-        is_idempotent, remaining, head, body, is_head_method = rest[:5]
-        ticket = Ticket(
-            number=number,
-            sender=self,
-            request_id=request_id,
-            service=service,
-            route=route,
-            account=account,
-            priority=priority,
-            is_idempotent=is_idempotent,
-            deadline=now + remaining,
-            head=head,
-            body=body,
-            is_head_method=is_head_method,
-        )
+        number = decode_number(frame)
+        try:
+            ticket = decode_call(frame, self, now)
+        except FrameError as error:
+            self.host.record_bad_frame(self.peer_name, error)
+            failure = Failure(Reason.FAULT, False)
+            self.connection.send(failure_frame(number, failure, self._load()))
+            return
         self.ticket_by_number[number] = ticket
         self.host.guard.offer(ticket, now)
 
--- a/knapweedlead/sidecar/_sidecar.py
+++ b/knapweedlead/sidecar/_sidecar.py
@@ -420,6 +420,10 @@
         for target in (self.local_target, *targets):
             self.targets_by_service.setdefault(target.service, []).append(target)
 
+    def record_bad_frame(self, peer: str, error: ValueError) -> None:
+        """Count and log a frame of a peer that cannot be decoded."""
+        self.recorder.bad_input("link", f"{peer}: {error}")
+
     def record_link_change(self, name: str, is_up: bool, detail: str) -> None:
         """Log that a link was opened or lost."""
         event = "link_up" if is_up else "link_lost"
--- a/knapweedlead/sidecar/_silent_connection.py
+++ b/knapweedlead/sidecar/_silent_connection.py
@@ -4,27 +4,52 @@
 
 import attrs
 
-from knapweedlead.mesh import AttemptTimes, ServerAnswer, Target
+from knapweedlead.mesh import Failure, Reason, Target
+from knapweedlead.sidecar._frame_decoders import (
+    FrameError,
+    decode_answer,
+    decode_failure,
+    decode_kind,
+    decode_load,
+    decode_number,
+)
 from knapweedlead.sidecar._frames import FrameConnection
 from knapweedlead.sidecar._link_host import LinkHost
-from knapweedlead.sidecar._wire import FrameKind, decode_failure
+from knapweedlead.sidecar._wire import FrameKind
 
 CALL_OUTCOMES = frozenset({FrameKind.ANSWER, FrameKind.FAILURE})
 """Kinds of frames that end an attempt; the second field is the number of the call."""
 
 
+_ANSWER_LOAD = 5
+_FAILURE_LOAD = 6
+"""Positions of the load of the peer's server in the frames."""
+
+
 def deliver_outcome(
     host: LinkHost, target: Target, frame: list[Any], now: float
 ) -> None:
-    """Pass the outcome of an attempt at a target to the entry."""
-    if frame[0] == FrameKind.ANSWER:
-        number, status, headers, body, running, queued, waited, ran = frame[1:9]
-        target.apply_load(running, queued)
-        answer = ServerAnswer(status, headers, body)
-        host.entry.answered(number, answer, now, AttemptTimes(waited, ran))
+    """Pass the outcome of an attempt at a target to the entry.
+
+    An outcome that cannot be decoded ends the attempt as unknown.
+    """
+    number = decode_number(frame)
+    is_answer = frame[0] == FrameKind.ANSWER
+    try:
+        target.apply_load(
+            *decode_load(frame, _ANSWER_LOAD if is_answer else _FAILURE_LOAD)
+        )
+        if is_answer:
+            answer, times = decode_answer(frame)
+        else:
+            failure = decode_failure(frame)
+    except FrameError as error:
+        host.record_bad_frame(target.name, error)
+        is_answer, failure = False, Failure(Reason.BROKEN_ANSWER, True, True)
+    if is_answer:
+        host.entry.answered(number, answer, now, times)
     else:
-        target.apply_load(frame[6], frame[7])
-        host.entry.failed(frame[1], decode_failure(frame), now, target)
+        host.entry.failed(number, failure, now, target)
 
 
 @attrs.define(eq=False)
@@ -65,11 +90,13 @@
             self.connection.abort("no answer is awaited")
 
     def _on_frame(self, connection: FrameConnection, frame: list[Any]) -> None:
-        if frame[0] not in CALL_OUTCOMES:
-            return
         try:
-            deliver_outcome(self.host, self.target, frame, self.host.clock())
-            self.numbers.discard(frame[1])
+            if decode_kind(frame) in CALL_OUTCOMES:
+                deliver_outcome(self.host, self.target, frame, self.host.clock())
+                self.numbers.discard(frame[1])
+                self.tick()
+        except FrameError as error:
+            self.host.record_bad_frame(self.target.name, error)
         except Exception as error:
             self.host.record_fault("link", error)
             connection.abort("frame that cannot be handled")
--- a/knapweedlead/sidecar/_wire.py
+++ b/knapweedlead/sidecar/_wire.py
@@ -1,7 +1,6 @@
 """Encoding of the frames between daemons."""
 
 import enum
-import math
 import zlib
 from functools import lru_cache
 from typing import Any
@@ -14,15 +13,9 @@
     Failure,
     FleetChange,
     FleetState,
-    Member,
-    Reason,
-    RouteDemand,
     ServerState,
 )
 
-_SERVER_FIELDS = len(attrs.fields(ServerState))
-_MEMBER_FIELDS = len(attrs.fields(Member))
-
 
 class FrameKind(enum.IntEnum):
     """Kind of a frame; the first field of each frame.
@@ -79,16 +72,6 @@
     ]
 
 
-def decode_failure(frame: list[Any]) -> Failure:
-    """Return the failure in a frame; an unknown reason is decoded as a failed run."""
-    _, _, reason, may_have_run, was_sent, retry_after = frame[:6]
-    try:
-        known = Reason(reason)
-    except ValueError:
-        return Failure(Reason.FAILED, True, True)
-    return Failure(known, bool(may_have_run), bool(was_sent), float(retry_after))
-
-
 @attrs.frozen
 class PeerState:
     """State that a daemon sends on its links.
@@ -126,13 +109,6 @@
             *attrs.astuple(self.server),
         ]
 
-    @classmethod
-    def from_frame(cls, frame: list[Any]) -> "PeerState":
-        """Return the state in a frame."""
-        requested_at, lead, revision, is_watching = frame[1:5]
-        server = ServerState(*frame[5 : 5 + _SERVER_FIELDS])
-        return cls(requested_at, lead, revision, is_watching, server)
-
 
 def fleet_state_frame(state: FleetState, known_configuration: int) -> list[Any]:
     """Return the frame with a fleet state.
@@ -161,24 +137,6 @@
     return zlib.compress(configuration)
 
 
-def decode_fleet_state(frame: list[Any], known: FleetState) -> FleetState:
-    """Return the fleet state in a frame.
-
-    The configuration is copied from `known` if `known` has the same revision of the
-    configuration; the frame may then leave the configuration out.
-    """
-    revision, configuration_revision, compressed, evacuated, rows = frame[1:6]
-    is_known = configuration_revision == known.configuration_revision
-    members = [Member(*row[:_MEMBER_FIELDS]) for row in rows]
-    return FleetState(
-        revision=revision,
-        configuration=known.configuration if is_known else zlib.decompress(compressed),
-        configuration_revision=configuration_revision,
-        evacuated=frozenset(evacuated),
-        member_by_name={member.name: member for member in members},
-    )
-
-
 def change_frame(base: int, change: FleetChange) -> list[Any]:
     """Return the frame with changes after revision `base`.
 
@@ -189,27 +147,13 @@
         base,
         change.revision,
         change.configuration_revision,
-        change.evacuated,
-        change.returned,
+        list(change.evacuated),
+        list(change.returned),
         [list(attrs.astuple(member)) for member in change.joined],
-        change.left,
+        list(change.left),
     ]
 
 
-def decode_change(frame: list[Any]) -> tuple[int, FleetChange]:
-    """Return the base revision of the changes in a frame, and the changes."""
-    base, revision, configuration_revision, evacuated, returned, rows, left = frame[1:8]
-    change = FleetChange(
-        revision=revision,
-        configuration_revision=configuration_revision,
-        evacuated=tuple(evacuated),
-        returned=tuple(returned),
-        joined=tuple(Member(*row[:_MEMBER_FIELDS]) for row in rows),
-        left=tuple(left),
-    )
-    return base, change
-
-
 def demand_frame(kind: FrameKind, sender: str, part: DemandSum) -> list[Any]:
     """Return the frame of a demand kind that carries a sum of demands."""
     return [
@@ -222,30 +166,3 @@
             if (weight := part.weight_by_route.get(route, 0.0)) > 0.0
         },
     ]
-
-
-def decode_demand(frame: list[Any]) -> tuple[str, DemandSum]:
-    """Return the sender and the sum of demands in a frame.
-
-    Raises
-    ------
-    ValueError
-        If a number is negative or not finite.
-    """
-    sender, demand_by_service, rows = frame[1:4]
-    estimate_by_route = {}
-    weight_by_route = {}
-    for route, row in rows.items():
-        slot_time, ratio_by_child, weight = row[:3]
-        ratios = {child: _amount(ratio) for child, ratio in ratio_by_child.items()}
-        estimate_by_route[route] = RouteDemand(_amount(slot_time), ratios)
-        weight_by_route[route] = _amount(weight)
-    demand = {service: _amount(slots) for service, slots in demand_by_service.items()}
-    return str(sender), DemandSum(demand, estimate_by_route, weight_by_route)
-
-
-def _amount(value: Any) -> float:
-    amount = float(value)
-    if not 0.0 <= amount < math.inf:
-        raise ValueError(f"expected a finite number of at least 0, got {value!r}")
-    return amount
--- a/knapweedlead/sidecar/tests/test_control_traffic.py
+++ b/knapweedlead/sidecar/tests/test_control_traffic.py
@@ -16,6 +16,13 @@
 )
 from knapweedlead.mesh.tests.harness import GuardHarness, make_report
 from knapweedlead.platform.tests.fleets import Fleet
+from knapweedlead.sidecar._frame_decoders import (
+    FrameError,
+    decode_change,
+    decode_demand,
+    decode_fleet_state,
+    decode_peer_state,
+)
 from knapweedlead.sidecar._frames import FrameConnection
 from knapweedlead.sidecar._serving import AcceptedLink
 from knapweedlead.sidecar._traffic import LinkTraffic
@@ -23,9 +30,6 @@
     FrameKind,
     PeerState,
     change_frame,
-    decode_change,
-    decode_demand,
-    decode_fleet_state,
     demand_frame,
     fleet_state_frame,
 )
@@ -92,13 +96,36 @@
         assert any(frames["demand,other"] for frames in traffic)
 
 
-async def test_frame_that_cannot_be_handled_closes_its_link_only():
+def fail_to_receive(*args):
+    raise RuntimeError("injected")
+
+
+async def test_frame_that_cannot_be_decoded_costs_no_more_than_itself():
     async with Fleet() as fleet:
         first = fleet.sidecars[0]
         link = first.links.open_links()[0]
-        link.connection.send([FrameKind.DEMAND_REPORT.value, "daemon-0", {"deep": "x"}])
+        connection = link.connection
+        connection.send([FrameKind.DEMAND_REPORT.value, "daemon-0", {"deep": "x"}])
         peer = next(s for s in fleet.sidecars if s.settings.name == link.name)
+        await fleet.wait_until(lambda: peer.recorder.count_by_name["bad_input", "link"])
+        assert (await fleet.call(0, "GET", "/read/1")).status == 200
+        assert link.connection is connection
+        assert not connection.is_closed
+        assert not peer.recorder.count_by_name["faults", "link"]
+
+
+async def test_frame_whose_handling_fails_closes_its_link_only():
+    async with Fleet() as fleet:
+        first = fleet.sidecars[0]
+        link = first.links.open_links()[0]
+        peer = next(s for s in fleet.sidecars if s.settings.name == link.name)
+        receive, peer.demand_exchange.receive_report = (
+            peer.demand_exchange.receive_report,
+            fail_to_receive,
+        )
+        link.connection.send([FrameKind.DEMAND_REPORT.value, "daemon-0", {}, {}])
         await fleet.wait_until(lambda: peer.recorder.count_by_name["faults", "link"])
+        peer.demand_exchange.receive_report = receive
         await fleet.wait_until(lambda: first.links.up_count == len(fleet.sidecars) - 1)
         assert (await fleet.call(0, "GET", "/read/1")).status == 200
 
@@ -141,7 +168,7 @@
         "i", "deep", True, 1, 2, 10, rate_limit=5.0, born=1000, is_leaving=True
     )
     state = PeerState(1.0, -0.5, 7, True, server)
-    assert PeerState.from_frame([*state.to_frame(), "added"]) == state
+    assert decode_peer_state([*state.to_frame(), "added"]) == state
     fleet = FleetState(7, b"{}", 5, frozenset({"north"}), {MEMBER.name: MEMBER})
     frame = fleet_state_frame(fleet, 0)
     frame[5] = [[*row, "added"] for row in frame[5]]
@@ -159,12 +186,12 @@
     state = PeerState(1.0, -0.5, 7, True, ServerState("i", "deep", True, 1, 2, 10))
     fields_of_earlier_version = 14
     frame = state.to_frame()[:fields_of_earlier_version]
-    assert PeerState.from_frame(frame) == state
+    assert decode_peer_state(frame) == state
 
 
 @pytest.mark.parametrize("value", [math.nan, math.inf, -1.0, "much", None])
 def test_absurd_demand_is_rejected(value):
     demand = attrs.evolve(DEMAND, demand_by_service={"deep": value})
     frame = demand_frame(FrameKind.DEMAND_PEER_SUM, "daemon-1", demand)
-    with pytest.raises((ValueError, TypeError)):
+    with pytest.raises(FrameError):
         decode_demand(frame)
--- a/knapweedlead/sidecar/tests/test_fleet_tracker.py
+++ b/knapweedlead/sidecar/tests/test_fleet_tracker.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+import zlib
 
 import attrs
 import pytest
@@ -10,13 +11,13 @@
 from knapweedlead.mesh.tests.harness import RecordingReplies, make_call
 from knapweedlead.platform.tests.fleets import CONFIGURATION, Fleet
 from knapweedlead.sidecar import Sidecar
-from knapweedlead.sidecar._wire import (
-    PeerState,
-    change_frame,
+from knapweedlead.sidecar._frame_decoders import (
+    MAX_CONFIGURATION_BYTES,
+    FrameError,
     decode_change,
     decode_fleet_state,
-    fleet_state_frame,
 )
+from knapweedlead.sidecar._wire import PeerState, change_frame, fleet_state_frame
 
 MEMBER = Member("daemon-9", "127.0.0.1:9", "deep", "south")
 
@@ -153,3 +154,20 @@
     tracker.fleet.apply_state(FleetState(revision=4, configuration_revision=4), "peer")
     assert tracker.fleet.state.revision == 5
     assert tracker.fleet.entry.configuration.account_by_name
+
+
+def test_fleet_state_without_a_configuration_that_is_no_longer_known_is_outdated():
+    # Guards against a link that is closed, since a newer configuration became known
+    # while the peer's answer to an earlier request was on its way.
+    older = FleetState(7, b"{}", 5, frozenset(), {MEMBER.name: MEMBER})
+    frame = fleet_state_frame(older, 5)
+    newer = attrs.evolve(older, revision=9, configuration=b"[]")
+    newer = attrs.evolve(newer, configuration_revision=8)
+    assert decode_fleet_state(frame, newer) is None
+
+
+def test_configuration_that_expands_without_end_is_rejected():
+    frame = fleet_state_frame(FleetState(7, b"{}", 5), 0)
+    frame[3] = zlib.compress(bytes(2 * MAX_CONFIGURATION_BYTES))
+    with pytest.raises(FrameError, match="at most"):
+        decode_fleet_state(frame, FleetState())
