Registration: an entry that is lost while its lease is valid is written anew

Before, the daemon renewed its lease for good while the store no longer listed it: daemons that start later had no link to it, and its server got no calls from them.

Change: after a renewal a daemon registers again if a state of the store that was the newest one after its registration does not list it. In normal operation no call is added.

Tests: the entry is replaced, or removed, on a fleet; the other daemons list it again, with one registration more. A state that is merely old does not count.

--- a/knapweedlead/sidecar/_fleet_tracker.py
+++ b/knapweedlead/sidecar/_fleet_tracker.py
@@ -222,6 +222,15 @@
 
     # Confirmations.
 
+    def is_unlisted(self, registered_at: float) -> bool:
+        """Return whether the store does not list this daemon after it registered.
+
+        False unless the known state was the newest one at some time after that.
+        """
+        listed = self.state.member_by_name.get(self.local_member.name)
+        is_known = self.freshness.confirmed_at > registered_at
+        return is_known and listed != self.local_member
+
     def confirm(self, requested_at: float) -> None:
         """Record that the known state was the newest in the store at `requested_at`."""
         self.freshness.confirm(requested_at)
--- a/knapweedlead/sidecar/_store_sync.py
+++ b/knapweedlead/sidecar/_store_sync.py
@@ -53,6 +53,9 @@
     def apply_store_change(self, base: int, change: FleetChange) -> None:
         """Apply the changes in the store after revision `base`."""
 
+    def is_unlisted(self, registered_at: float) -> bool:
+        """Return whether the store does not list this daemon after it registered."""
+
     def confirm(self, requested_at: float) -> None:
         """Record that the known state was the newest in the store at `requested_at`."""
 
@@ -88,6 +91,7 @@
         self.store = store
         self.local_member = local_member
         self._lease = 0
+        self._registered_at = 0.0
         self._backoff_by_step = {
             "register": FullJitter(RETRY_BASE_DELAY, MAX_REGISTER_DELAY),
             "watch": FullJitter(RETRY_BASE_DELAY, MAX_WATCH_DELAY),
@@ -140,16 +144,25 @@
             self._record_failure("register", written.err_value)
             return False
         self._lease = lease
+        self._registered_at = self.host.clock()
         self._record_success("register")
         self.host.record_registration(True)
         return True
 
     async def _renew(self) -> bool:
-        """Renew the lease; return whether it is still valid."""
+        """Renew the lease; return whether it is valid and the daemon is registered.
+
+        The entry may be lost while the lease is valid: another writer has replaced it,
+        or an earlier registration was executed late and expired with its own lease.
+        """
         renewed = await self.store.renew_lease(self._lease)
         if not isinstance(renewed, Err):
             self._record_success("register")
-            return True
+            if not self.host.is_unlisted(self._registered_at):
+                return True
+            self._lease = 0
+            self.host.record_registration(False)
+            return False
         if renewed.err_value.fault is StoreFault.CONFLICT:
             # The lease has expired, but the store answers: register without a delay.
             self._lease = 0
--- a/knapweedlead/sidecar/tests/test_store_sync.py
+++ b/knapweedlead/sidecar/tests/test_store_sync.py
@@ -3,12 +3,14 @@
 import asyncio
 import random
 
+import attrs
 import pytest
 from result import Err, Ok
 
 from knapweedlead.errors import StoreError, StoreFault
 from knapweedlead.mesh import LeaseGrant, Member
 from knapweedlead.platform.tests.fleets import Fleet
+from knapweedlead.sidecar import Sidecar
 from knapweedlead.sidecar._store_sync import StoreSync
 
 RENEWAL_WEIGHT = 0.1
@@ -75,6 +77,9 @@
     def __init__(self):
         self.rng = random.Random(1)
 
+    def clock(self):
+        return 100.0
+
     def record_store_reachability(self, step, is_reached, detail):
         pass
 
@@ -100,3 +105,41 @@
         await sync._keep_registered()
     failed_renewals = ["renew", "pause", "renew", "pause"]
     assert operations == [*failed_renewals, "renew", "grant", "register", "pause"]
+
+
+@pytest.mark.parametrize("change", ["replaced", "removed"])
+async def test_entry_that_another_writer_changes_is_written_anew(change):
+    # Guards against a live daemon that renews its lease and is no longer listed.
+    async with Fleet() as fleet:
+        if change == "replaced":
+            fleet.store.write("members/daemon-3", b"{}")
+        else:
+            fleet.store.remove("members/daemon-3")
+        others = fleet.sidecars[:3]
+        await fleet.wait_until(
+            lambda: all("daemon-3" not in s.roster.by_name for s in tracked(others))
+        )
+        await fleet.wait_until(
+            lambda: all("daemon-3" in s.roster.by_name for s in tracked(others))
+        )
+        grants = [path for _, path in fleet.store.calls if path == "/-/kv-lease"]
+        assert len(grants) == len(fleet.sidecars) + 1
+
+
+def tracked(sidecars):
+    """Return the fleet trackers of daemons."""
+    return [sidecar.fleet for sidecar in sidecars]
+
+
+def test_daemon_is_unlisted_only_if_a_later_state_does_not_list_it():
+    fleet = Fleet()
+    sidecar = Sidecar(fleet.settings(0, "front", "north"), random.Random(1))
+    tracker = sidecar.fleet
+    assert not tracker.is_unlisted(100.0)
+    tracker.confirm(99.0)
+    assert not tracker.is_unlisted(100.0)
+    tracker.confirm(101.0)
+    assert tracker.is_unlisted(100.0)
+    member = tracker.local_member
+    tracker.state = attrs.evolve(tracker.state, member_by_name={member.name: member})
+    assert not tracker.is_unlisted(100.0)
