--- a/knapweedlead/messages/_codec.py
+++ b/knapweedlead/messages/_codec.py
@@ -15,6 +15,7 @@
 import cbor2
 from result import Err, Ok, Result
 
+from knapweedlead.checks import MAX_COUNT, describe
 from knapweedlead.errors import CodecError
 
 Message = Any
@@ -158,7 +159,7 @@
 def _unpack_float(value: Any) -> float:
     if type(value) is float:
         return value
-    if type(value) is int:
+    if type(value) is int and abs(value) <= MAX_COUNT:
         return float(value)
     raise _MalformedError(f"expected a number, got {type(value).__name__}")
 
@@ -225,7 +226,7 @@
         return _decode_error(peer, f"unknown message code {values[0]}")
     try:
         return Ok(_unpacker_by_class[cls](values[1:]))
-    except (ValueError, TypeError, RecursionError) as error:
+    except (ValueError, TypeError, OverflowError, RecursionError) as error:
         return _decode_error(peer, f"{cls.__name__}: {error}")
 
 
