Membership: an odd record in the store or from a peer hides no other one

Before, a seed in the store was built from whatever its JSON held: a nested value raised RecursionError and a field of another type raised where records are compared, so that the handling of the whole listing failed each time it was read and the daemon did not join. From peers, records with a port out of range, text that cannot be encoded or an unknown state were taken into the table and passed on.

Change: documents in the store are read by field with the type checks of the messages (`read_document`); records are checked (names, addresses, numbers, state) before they are used or merged; a rejected one is counted and logged. Fields of later versions are ignored.

--- a/knapweedlead/membership/_member.py
+++ b/knapweedlead/membership/_member.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from knapweedlead.checks import check_address, check_count, check_name
 from knapweedlead.messages import nested
 from knapweedlead.node import Event
 from knapweedlead.statecharts import Statechart
@@ -11,6 +12,9 @@
 RANK_BY_STATE = {"alive": 0, "suspect": 1, "leaving": 2, "dead": 3, "gone": 4}
 """Rank of states with equal incarnation and version; a higher rank wins."""
 
+MAX_LIMIT = 1_000_000
+"""Largest limit of a backend server that a record may state."""
+
 RUNNING_STATES = frozenset({"alive", "suspect", "leaving"})
 """States of members whose process is presumed to run."""
 
@@ -67,6 +71,33 @@
         return self if state == self.state else attrs.evolve(self, state=state)
 
 
+def check_member(member: Member) -> None:
+    """Check a record that another program has written.
+
+    Raises
+    ------
+    ValueError
+        If a name cannot be encoded, an address cannot be connected to, a number is out
+        of range, or the state is unknown.
+    """
+    for name in (
+        member.name,
+        member.region,
+        member.data_centre,
+        member.service,
+        member.instance,
+    ):
+        check_name(name)
+    for address in (member.link_address, member.caller_address):
+        check_address(address)
+    for number in (member.incarnation, member.version):
+        check_count(number)
+    for limit in (member.slots, member.cold_slots, member.connections):
+        check_count(limit, MAX_LIMIT)
+    if member.state not in RANK_BY_STATE:
+        raise ValueError(f"expected a known state, got {member.state!r}")
+
+
 @attrs.frozen
 class MembersChanged(Event):
     """Members appeared, changed state or left.
--- a/knapweedlead/membership/_role.py
+++ b/knapweedlead/membership/_role.py
@@ -1,7 +1,7 @@
 """Membership role: failure detection by probes, dissemination by gossip."""
 
 import random
-from collections.abc import Iterable, Iterator
+from collections.abc import Generator, Iterable, Iterator
 
 import attrs
 
@@ -10,6 +10,7 @@
     Member,
     MembersChanged,
     RevisionHeard,
+    check_member,
 )
 from knapweedlead.membership._messages import (
     Ack,
@@ -35,6 +36,7 @@
     Effect,
     Identity,
     LinkDown,
+    LogEvent,
     Notify,
     Role,
     SendMessage,
@@ -163,6 +165,27 @@
         if names:
             yield Notify(MembersChanged(tuple(names)))
 
+    def _merge(
+        self, members: Iterable[Member], now: float, is_gossiped: bool = True
+    ) -> Generator[Effect, None, list[str]]:
+        """Merge records of a peer; return the names of the changed members.
+
+        A record that cannot be used is left out. It may stem from another writer of the
+        store, and peers of an earlier version pass it on.
+        """
+        sound = []
+        for member in members:
+            try:
+                check_member(member)
+            except ValueError as error:
+                yield Count("knapweedlead.membership.rejected")
+                yield LogEvent("member_rejected", (("detail", str(error)),))
+            else:
+                sound.append(member)
+        names = self.view.merge(sound, now, is_gossiped)
+        yield from self._notify_changed(names)
+        return names
+
     @handles(Started)
     def on_started(self, event: Started, now: float) -> Iterator[Effect]:
         """Schedule the periodic tasks and report this daemon as a changed member."""
@@ -310,8 +333,7 @@
         self, peer: str, heartbeat: Ping | Ack, now: float
     ) -> Iterator[Effect]:
         self._last_contact_at = now
-        names = self.view.merge(heartbeat.updates, now)
-        yield from self._notify_changed(names)
+        names = yield from self._merge(heartbeat.updates, now)
         yield from self._forward_leaving(names)
         if heartbeat.revision > self.revision:
             yield Notify(RevisionHeard(peer, heartbeat.revision))
@@ -369,7 +391,7 @@
         self, peer: str, request: SyncRequest, now: float
     ) -> Iterator[Effect]:
         """Send newer records to the peer and request the peer's newer records."""
-        yield from self._notify_changed(self.view.merge((request.sender,), now))
+        yield from self._merge((request.sender,), now)
         for reply in sync_replies(self.table, request):
             yield SendMessage(peer, reply)
 
@@ -379,9 +401,7 @@
     ) -> Iterator[Effect]:
         """Merge received records, send requested records and probe disputed members."""
         self.synced_at = now
-        yield from self._notify_changed(
-            self.view.merge(reply.members, now, is_gossiped=False)
-        )
+        yield from self._merge(reply.members, now, is_gossiped=False)
         for answer in requested_members(self.table, reply.requested):
             yield SendMessage(peer, answer)
         count = min(MAX_DISPUTED_PROBES, len(reply.disputed))
--- a/knapweedlead/membership/_seeds.py
+++ b/knapweedlead/membership/_seeds.py
@@ -5,7 +5,8 @@
 
 import attrs
 
-from knapweedlead.membership._member import Member
+from knapweedlead.membership._member import Member, check_member
+from knapweedlead.messages import read_document
 from knapweedlead.store import CompareAndSwap, Entry, Listing
 
 SEEDS_PREFIX = "knapweedlead/seeds/"
@@ -29,9 +30,11 @@
 
 def _parse_member(entry: Entry) -> Member | None:
     try:
-        return Member(**json.loads(entry.value))
-    except (ValueError, TypeError):
+        member = read_document(Member, json.loads(entry.value))
+        check_member(member)
+    except (ValueError, RecursionError):
         return None
+    return member
 
 
 def seed_write(member: Member, index: int, listing: Listing) -> CompareAndSwap | None:
--- a/knapweedlead/messages/__init__.py
+++ b/knapweedlead/messages/__init__.py
@@ -13,6 +13,7 @@
     encode_message,
     message,
     nested,
+    read_document,
 )
 from knapweedlead.messages._links import Challenge, Hello, Welcome
 
@@ -30,4 +31,5 @@
     "encode_message",
     "message",
     "nested",
+    "read_document",
 ]
--- a/knapweedlead/messages/_codec.py
+++ b/knapweedlead/messages/_codec.py
@@ -9,7 +9,7 @@
 import typing
 from collections.abc import Callable
 from operator import attrgetter
-from typing import Any
+from typing import Any, TypeVar
 
 import attrs
 import cbor2
@@ -21,6 +21,8 @@
 Message = Any
 """An instance of a class decorated with `message`."""
 
+_Nested = TypeVar("_Nested", bound=attrs.AttrsInstance)
+
 MAX_MESSAGE_BYTES = 8 * 1024 * 1024
 
 _UNKNOWN_PEER = "-"
@@ -192,6 +194,30 @@
     return unpack
 
 
+def read_document(cls: type[_Nested], document: Any) -> _Nested:
+    """Return an instance of a `nested` class from a map of its fields, e.g. from JSON.
+
+    Fields of later versions are ignored; a missing field gets its default.
+
+    Raises
+    ------
+    ValueError
+        If a field has another type, or is missing and has no default.
+    """
+    if type(document) is not dict:
+        raise _MalformedError(f"expected a map, got {describe(document)}")
+    values = []
+    for field in attrs.fields(cls):
+        if field.name in document:
+            values.append(document[field.name])
+        elif field.default is not attrs.NOTHING:
+            values.append(field.default)
+        else:
+            raise _MalformedError(f"{cls.__name__}: expected field {field.name}")
+    instance: _Nested = _unpacker_by_class[cls](values)
+    return instance
+
+
 def encode_message(value: Message) -> bytes:
     """Return the encoding of a message."""
     cls = type(value)
--- a/knapweedlead/telemetry/_counters.py
+++ b/knapweedlead/telemetry/_counters.py
@@ -131,6 +131,13 @@
         "Bytes of messages on links, by direction and purpose.",
         (DIRECTION, PURPOSE),
     ),
+    MetricSpec(
+        "knapweedlead.membership.rejected",
+        MetricKind.COUNTER,
+        "{record}",
+        "Records of members from peers that cannot be used; the log line "
+        "`member_rejected` tells why.",
+    ),
     MetricSpec(
         "knapweedlead.membership.syncs",
         MetricKind.COUNTER,
