Links: an address that is none fails to open, with its messages reported as unsent

The link stayed for ever without a connection, all messages to it were queued up to the limit, and neither their sender nor the membership heard of it.

Change: the address is checked, and any failure to open is reported.

--- a/knapweedlead/transport/_links.py
+++ b/knapweedlead/transport/_links.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from knapweedlead.checks import check_address
 from knapweedlead.errors import LinkError
 from knapweedlead.http._addresses import split_address
 from knapweedlead.messages import Message, encode_message
@@ -169,24 +170,30 @@
 
     async def _connect(self, link: _Link) -> None:
         """Connect, and wait until the connection is up or closed."""
-        connection = OutgoingConnection(self, link.peer)
+        connection = None
         is_refused = False
         try:
-            host, port = split_address(link.peer)
-            loop = asyncio.get_running_loop()
-            async with asyncio.timeout(OPEN_TIMEOUT):
-                await loop.create_connection(lambda: connection, host, port)
-                await connection.handshake_ended.wait()
-        except (OSError, TimeoutError, asyncio.CancelledError) as error:
+            host, port = split_address(check_address(link.peer))
+            connection = OutgoingConnection(self, link.peer)
+            await self._open_connection(connection, host, port)
+        except (OSError, ValueError, asyncio.CancelledError) as error:
             is_refused = isinstance(error, ConnectionRefusedError)
             detail = f"{type(error).__name__}: {error}"
             self.on_error(LinkError("link.open", link.peer, detail))
         link.connect_task = None
-        if not connection.is_up:
-            if connection.transport is not None:
+        if connection is None or not connection.is_up:
+            if connection is not None and connection.transport is not None:
                 connection.transport.abort()
             self._remove_if_unused(link, is_refused)
 
+    async def _open_connection(
+        self, connection: OutgoingConnection, host: str, port: int
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(OPEN_TIMEOUT):
+            await loop.create_connection(lambda: connection, host, port)
+            await connection.handshake_ended.wait()
+
     def _queue(self, link: _Link, message: Message) -> None:
         data = encode_message(message)
         is_full = len(link.queue) >= MAX_QUEUED_MESSAGES
--- a/knapweedlead/transport/tests/test_links.py
+++ b/knapweedlead/transport/tests/test_links.py
@@ -55,6 +55,19 @@
         assert a.table.open_links == b.table.open_links == 1
 
 
+@pytest.mark.parametrize("address", ["127.0.0.1:70000", "127.0.0.1", "", "x:y"])
+async def test_message_to_an_address_that_is_none_is_reported_as_unsent(address):
+    # Guards against a link that stays for ever, with all messages queued on it, for one
+    # odd address in the store.
+    async with open_endpoints(1) as (a,):
+        a.table.send(address, make_cancel(1))
+        await wait_until(lambda: a.unsent_messages)
+        assert a.unsent_messages == [make_cancel(1)]
+        assert a.lost_links == [(address, False)]
+        assert [error.peer for error in a.errors] == [address]
+        assert not a.table._link_by_peer
+
+
 @pytest.mark.parametrize("seed", range(5))
 async def test_simultaneous_opening_neither_loses_nor_duplicates_messages(seed):
     async with open_endpoints(2) as (a, b):
