--- a/knapweedlead/ownership/_record.py
+++ b/knapweedlead/ownership/_record.py
@@ -5,8 +5,9 @@
 import attrs
 from result import Err, Ok, Result
 
+from knapweedlead.checks import check_address, check_count, check_name
 from knapweedlead.errors import ResourceError
-from knapweedlead.messages import nested
+from knapweedlead.messages import nested, read_document
 
 SLOTS_PREFIX = "knapweedlead/slots/"
 
@@ -80,7 +81,29 @@
 def decode_record(key: str, value: bytes) -> Result[SlotRecord, ResourceError]:
     """Decode a record from a value of the store."""
     try:
-        return Ok(SlotRecord(**json.loads(value)))
-    except (ValueError, TypeError) as error:
-        detail = f"not a slot record: {type(error).__name__}"
+        record = read_document(SlotRecord, json.loads(value))
+        _check_record(key, record)
+    except (ValueError, RecursionError) as error:
+        detail = f"not a slot record: {type(error).__name__}: {error}"
         return Err(ResourceError("ownership.decode", key, detail))
+    return Ok(record)
+
+
+def _check_record(key: str, record: SlotRecord) -> None:
+    if store_key(record.slot) != key:
+        raise ValueError(f"expected the record of {key}, got slot {record.slot}")
+    for number in (
+        record.epoch,
+        record.count,
+        record.incarnation,
+        record.backup_incarnation,
+        record.appointment,
+    ):
+        check_count(number)
+    for name, address in (
+        (record.owner, record.link_address),
+        (record.backup, record.backup_address),
+    ):
+        if name:
+            check_name(name)
+            check_address(address)
