--- a/knapweedlead/configuration/_delta.py
+++ b/knapweedlead/configuration/_delta.py
@@ -1,13 +1,12 @@
 """Serialized differences between two revisions of the catalogue."""
 
-import zlib
-
 import attrs
 from result import Err, Ok, Result
 
 from knapweedlead.configuration._catalogue import AcceptedChange, Catalogue
 from knapweedlead.configuration._change import MAX_REMEMBERED_CHANGES, replace_resources
 from knapweedlead.configuration._document import (
+    DOCUMENT_ERRORS,
     dump_document,
     load_document,
     parse_catalogue,
@@ -83,7 +82,7 @@
         return _error(peer, f"expected to be at revision {delta.base}")
     try:
         return _apply(catalogue, delta)
-    except (ValueError, KeyError, TypeError, IndexError, zlib.error) as error:
+    except DOCUMENT_ERRORS as error:
         return _error(peer, f"malformed delta: {type(error).__name__}: {error}")
 
 
--- a/knapweedlead/configuration/_document.py
+++ b/knapweedlead/configuration/_document.py
@@ -17,6 +17,18 @@
 MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
 """Largest accepted size of a document after decompression."""
 
+DOCUMENT_ERRORS = (
+    ValueError,
+    KeyError,
+    IndexError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+    zlib.error,
+)
+"""Errors that a malformed document may raise while it is read."""
+
 _JSON_START = b"{"
 
 
@@ -44,7 +56,7 @@
     """
     try:
         return _build_catalogue(load_document(data))
-    except (ValueError, KeyError, TypeError, AttributeError, zlib.error) as error:
+    except DOCUMENT_ERRORS as error:
         detail = f"malformed catalogue: {type(error).__name__}"
         return Err(ResourceError("configuration.parse", "catalogue", detail))
 
