--- a/knapweedlead/sidecar/_frames.py
+++ b/knapweedlead/sidecar/_frames.py
@@ -56,7 +56,8 @@
         self.traffic: Callable[[int, int], None] | None = None
         self.is_closed = False
         self._close_detail = "connection closed"
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._needed = _LENGTH.size
         self._pending_writes: list[bytes] = []
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -66,11 +67,20 @@
             self.on_open(self)
 
     def data_received(self, data: bytes) -> None:
-        """Decode all complete frames received so far."""
+        """Decode all complete frames received so far.
+
+        Parts of an incomplete frame are collected until it is complete, so that each
+        of its bytes is copied a bounded number of times.
+        """
         if self._buffer:
-            data = self._buffer + data
+            self._buffer += data
+            if len(self._buffer) < self._needed:
+                return
+            data = bytes(self._buffer)
+            self._buffer.clear()
         start = 0
         size = len(data)
+        self._needed = _LENGTH.size
         while size - start >= _LENGTH.size:
             (length,) = _LENGTH.unpack_from(data, start)
             if length > MAX_FRAME_BYTES:
@@ -78,10 +88,11 @@
                 return
             end = start + _LENGTH.size + length
             if end > size:
+                self._needed = end - start
                 break
             self._decode(data[start + _LENGTH.size : end])
             start = end
-        self._buffer = data[start:]
+        self._buffer += data[start:]
 
     def _decode(self, data: bytes) -> None:
         try:
