Queues: a queued call is removed in constant time

The cancellation of a queued call scanned the whole queue: 28 ms for 700 callers who disconnect at once, 99 ms for 1,400, i.e. with the square of the queue. Both queues remove by run now, and the guards of both homes use it. Serving the oldest call no longer skips over removed entries of a dictionary.

--- a/knapweedlead/admission/_control.py
+++ b/knapweedlead/admission/_control.py
@@ -203,6 +203,10 @@
         """Pass an event of ``backend_server.json`` to the cold start policy."""
         self.cold_start.fire(event, now)
 
+    def drop(self, run: int) -> QueuedCall | None:
+        """Remove and return a queued call, or None if it is not queued."""
+        return self.queue.remove(run)
+
     def drop_where(self, condition: Callable[[QueuedCall], bool]) -> list[QueuedCall]:
         """Remove and return the queued calls that satisfy a condition."""
         return self.queue.remove_where(condition)
--- a/knapweedlead/admission/_priority_fair.py
+++ b/knapweedlead/admission/_priority_fair.py
@@ -1,6 +1,6 @@
 """Priority queue with weighted fair queueing among client accounts."""
 
-from collections import deque
+from collections import OrderedDict
 from collections.abc import Callable
 from typing import ClassVar
 
@@ -28,15 +28,18 @@
     ----------
     start : float
         Virtual start time of the account's next call.
+    weight : float
+        Weight of the account, as of its newest call.
     """
 
     start: float
-    calls: deque[QueuedCall] = attrs.field(factory=deque)
+    weight: float = 1.0
+    by_run: OrderedDict[int, QueuedCall] = attrs.field(factory=OrderedDict)
 
     @property
     def weighted_length(self) -> float:
         """Number of queued calls divided by the account's weight."""
-        return len(self.calls) / self.calls[0].weight
+        return len(self.by_run) / self.weight
 
 
 @attrs.define(eq=False)
@@ -53,12 +56,13 @@
             last = self.last_start_by_account.get(call.account, 0.0)
             queue = _AccountQueue(max(self.virtual_time, last))
             self.by_account[call.account] = queue
-        queue.calls.append(call)
+        queue.by_run[call.run] = call
+        queue.weight = call.weight
 
     def pop(self) -> QueuedCall:
         account = min(self.by_account, key=lambda name: self.by_account[name].start)
         queue = self.by_account[account]
-        call = queue.calls.popleft()
+        _, call = queue.by_run.popitem(last=False)
         self.virtual_time = queue.start
         queue.start += 1.0 / call.weight
         self.remove_if_empty(account)
@@ -68,13 +72,13 @@
         account = max(
             self.by_account, key=lambda name: self.by_account[name].weighted_length
         )
-        call = self.by_account[account].calls.pop()
+        _, call = self.by_account[account].by_run.popitem()
         self.remove_if_empty(account)
         return call
 
     def remove_if_empty(self, account: str) -> None:
         queue = self.by_account[account]
-        if queue.calls:
+        if queue.by_run:
             return
         del self.by_account[account]
         if len(self.last_start_by_account) >= MAX_IDLE_ACCOUNTS:
@@ -104,11 +108,11 @@
 
     def __init__(self) -> None:
         self._by_priority: dict[int, _PriorityQueue] = {}
-        self._length = 0
+        self._call_by_run: dict[int, QueuedCall] = {}
         self._last_important_at: float | None = None
 
     def __len__(self) -> int:
-        return self._length
+        return len(self._call_by_run)
 
     def push(self, call: QueuedCall, capacity: int, now: float) -> QueuedCall | None:
         """Add a call; return the call displaced if `capacity` is exceeded, or None.
@@ -117,18 +121,20 @@
         """
         self._record_arrival(call, now)
         self._by_priority.setdefault(call.priority, _PriorityQueue()).push(call)
-        self._length += 1
-        if self._length <= capacity:
+        self._call_by_run[call.run] = call
+        if len(self._call_by_run) <= capacity:
             return None
-        self._length -= 1
-        return self._select(max).pop_newest_of_largest()
+        displaced = self._select(max).pop_newest_of_largest()
+        del self._call_by_run[displaced.run]
+        return displaced
 
     def pop(self, now: float) -> QueuedCall | None:
         """Remove and return the next call, or None if the queue is empty."""
-        if not self._length:
+        if not self._call_by_run:
             return None
-        self._length -= 1
-        return self._select(min).pop()
+        call = self._select(min).pop()
+        del self._call_by_run[call.run]
+        return call
 
     def next_priority(self) -> int | None:
         """Return the priority of the next call, or None if the queue is empty."""
@@ -144,18 +150,20 @@
             return 0
         return limit // SLOTS_PER_RESERVED_SLOT
 
+    def remove(self, run: int) -> QueuedCall | None:
+        """Remove and return a call, in constant time; None if it is not queued."""
+        call = self._call_by_run.pop(run, None)
+        if call is not None:
+            queue = self._by_priority[call.priority]
+            del queue.by_account[call.account].by_run[run]
+            queue.remove_if_empty(call.account)
+        return call
+
     def remove_where(self, condition: Callable[[QueuedCall], bool]) -> list[QueuedCall]:
         """Remove and return the calls that satisfy a condition."""
-        removed: list[QueuedCall] = []
-        for queue in self._by_priority.values():
-            for account, account_queue in list(queue.by_account.items()):
-                dropped = [call for call in account_queue.calls if condition(call)]
-                if dropped:
-                    kept = (call for call in account_queue.calls if not condition(call))
-                    account_queue.calls = deque(kept)
-                    queue.remove_if_empty(account)
-                    removed += dropped
-        self._length -= len(removed)
+        removed = [call for call in self._call_by_run.values() if condition(call)]
+        for call in removed:
+            self.remove(call.run)
         return removed
 
     def _record_arrival(self, call: QueuedCall, now: float) -> None:
--- a/knapweedlead/admission/_queues.py
+++ b/knapweedlead/admission/_queues.py
@@ -1,5 +1,6 @@
 """Bounded queues of calls that wait for a slot."""
 
+from collections import OrderedDict
 from collections.abc import Callable
 from typing import ClassVar, Protocol
 
@@ -30,6 +31,9 @@
     def reserve(self, limit: int, now: float) -> int:
         """Return how many slots of `limit` are reserved for important calls."""
 
+    def remove(self, run: int) -> QueuedCall | None:
+        """Remove and return a call, in constant time; None if it is not queued."""
+
     def remove_where(self, condition: Callable[[QueuedCall], bool]) -> list[QueuedCall]:
         """Remove and return the calls that satisfy a condition."""
 
@@ -44,7 +48,7 @@
     parameter_constraints: ClassVar[dict[str, Constraint]] = {}
 
     def __init__(self) -> None:
-        self._calls: dict[int, QueuedCall] = {}
+        self._calls: OrderedDict[int, QueuedCall] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._calls)
@@ -60,7 +64,7 @@
         """Remove and return the oldest call, or None if the queue is empty."""
         if not self._calls:
             return None
-        return self._calls.pop(next(iter(self._calls)))
+        return self._calls.popitem(last=False)[1]
 
     def next_priority(self) -> int | None:
         """Return the priority of the oldest call, or None if the queue is empty."""
@@ -71,6 +75,10 @@
         """Return 0: no slots are reserved."""
         return 0
 
+    def remove(self, run: int) -> QueuedCall | None:
+        """Remove and return a call, or None if it is not queued."""
+        return self._calls.pop(run, None)
+
     def remove_where(self, condition: Callable[[QueuedCall], bool]) -> list[QueuedCall]:
         """Remove and return the calls that satisfy a condition."""
         removed = [call for call in self._calls.values() if condition(call)]
--- a/knapweedlead/calls/_guard_scheduler.py
+++ b/knapweedlead/calls/_guard_scheduler.py
@@ -119,7 +119,7 @@
     def cancel(self, call: GuardCall, now: float) -> Iterator[Effect]:
         """Refuse a queued call, or cancel the run of a running one."""
         if call.run not in self.call_table.running_by_run:
-            self.control.drop_where(lambda queued: queued.run == call.run)
+            self.control.drop(call.run)
             yield from self.refuse(call, RefusalReason.CANCELLED, now)
             return
         state = self.call_table.state_by_run[call.run]
--- a/knapweedlead/mesh/_guard.py
+++ b/knapweedlead/mesh/_guard.py
@@ -366,18 +366,16 @@
         ticket.is_cancelled = True
         if not ticket.is_running:
             self.queued_by_run.pop(ticket.run, None)
-            self.queue.remove_where(lambda call: call.run == ticket.run)
+            self.queue.remove(ticket.run)
         elif ticket.is_idempotent and ticket.run in self.running_by_run:
             self.runner.cancel(ticket)
 
     def tick(self, now: float) -> None:
         """Refuse queued calls past their deadline; start others if capacity is free."""
         expired = [run for run, t in self.queued_by_run.items() if t.deadline <= now]
-        if expired:
-            runs = set(expired)
-            self.queue.remove_where(lambda call: call.run in runs)
-            for run in expired:
-                self._refuse(self.queued_by_run.pop(run), Reason.QUEUE_TIMEOUT)
+        for run in expired:
+            self.queue.remove(run)
+            self._refuse(self.queued_by_run.pop(run), Reason.QUEUE_TIMEOUT)
         self._check_stall(now)
         self.demand.sample(now)
         self._start_queued(now)
