HTTP: a repeated header is not copied with each repetition

They are collected and joined once. The memory that unfinished answers take is counted only if they are not complete with their first read.

--- a/knapweedlead/http/_caller.py
+++ b/knapweedlead/http/_caller.py
@@ -7,7 +7,7 @@
 import attrs
 import httptools
 
-from knapweedlead.http._headers import add_header, response_bytes
+from knapweedlead.http._headers import HeaderCollector, response_bytes
 
 if TYPE_CHECKING:
     from knapweedlead.http._server import CallerServer
@@ -77,6 +77,7 @@
 
     def _reset(self) -> None:
         self._url = b""
+        self._fields = HeaderCollector()
         self._headers: dict[str, str] = {}
         self._body: list[bytes] = []
         self._size = 0
@@ -152,13 +153,14 @@
             self._parse_failure = "request_too_large"
             raise ValueError("request too large")
         if self._is_in_head:
-            add_header(self._headers, name, value)
+            self._fields.add(name, value)
 
     def on_headers_complete(self) -> None:
         """Read the keep-alive mode and send ``100 Continue`` if requested."""
         self._size = 0
         self._framed_size = 0
         self._is_in_head = False
+        self._headers = self._fields.take()
         self._keeps_alive = self.parser.should_keep_alive()
         expects_continue = self._headers.get("expect", "").lower() == "100-continue"
         if expects_continue and not self.exchange:
--- a/knapweedlead/http/_headers.py
+++ b/knapweedlead/http/_headers.py
@@ -14,13 +14,34 @@
     return raw.decode("latin-1").lower()
 
 
-def add_header(headers: dict[str, str], name: bytes, value: bytes) -> None:
-    """Add a header; the values of a repeated header are joined with commas."""
-    key = decode_header_name(name)
-    if key in headers:
-        headers[key] = f"{headers[key]}, {value.decode('latin-1')}"
-    else:
-        headers[key] = value.decode("latin-1")
+class HeaderCollector:
+    """Collects the headers of a message; repeated ones are joined with commas."""
+
+    __slots__ = ("_parts_by_name", "_value_by_name")
+
+    def __init__(self) -> None:
+        self._value_by_name: dict[str, str] = {}
+        self._parts_by_name: dict[str, list[str]] = {}
+
+    def add(self, name: bytes, value: bytes) -> None:
+        """Add a header."""
+        key = decode_header_name(name)
+        text = value.decode("latin-1")
+        if key not in self._value_by_name:
+            self._value_by_name[key] = text
+        elif key in self._parts_by_name:
+            self._parts_by_name[key].append(text)
+        else:
+            self._parts_by_name[key] = [self._value_by_name[key], text]
+
+    def take(self) -> dict[str, str]:
+        """Return the headers by lower-case name, and begin with none."""
+        headers, self._value_by_name = self._value_by_name, {}
+        if self._parts_by_name:
+            for key, parts in self._parts_by_name.items():
+                headers[key] = ", ".join(parts)
+            self._parts_by_name = {}
+        return headers
 
 
 def request_bytes(
--- a/knapweedlead/http/_run.py
+++ b/knapweedlead/http/_run.py
@@ -7,7 +7,7 @@
 import httptools
 
 from knapweedlead.http._body import BodyBuffer
-from knapweedlead.http._headers import add_header
+from knapweedlead.http._headers import HeaderCollector
 
 if TYPE_CHECKING:
     from knapweedlead.http._client import BackendServerClient
@@ -75,11 +75,13 @@
         self._is_head = False
         self._discarded = 0
         self._has_progressed = False
+        self._received_headers = 0
         self._detail = "connection lost"
         self._timer: asyncio.TimerHandle | None = None
         self._reset()
 
     def _reset(self) -> None:
+        self._fields = HeaderCollector()
         self._headers: dict[str, str] = {}
         self._body = BodyBuffer()
         self._size = 0
@@ -135,11 +137,11 @@
             self.abort("bytes without a request")
             return
         self._size += len(data)
-        self.client.budget.hold(self, len(data))
         if self._size > MAX_ANSWER_BYTES:
             self.abort("answer too large")
             return
         self._has_progressed = False
+        self._received_headers = 0
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -150,14 +152,16 @@
         if self._is_complete:
             self._finish_run()
             return
+        budget = self.client.budget
+        budget.hold(self, len(data) + self._received_headers * HEADER_OBJECT_BYTES)
         if not self._has_progressed:
             self._size_beside_body += len(data)
         if self._size_beside_body > MAX_HEAD_BYTES:
             self.abort("answer head or framing too large")
         elif self._discarded > MAX_DISCARDED_ANSWERS:
             self.abort("too many answers to other requests")
-        elif self.client.budget.is_exceeded:
-            self.client.budget.largest().abort("answers too large in total")
+        elif budget.is_exceeded:
+            budget.largest().abort("answers too large in total")
 
     def on_message_begin(self) -> None:
         """Record whether another message follows the complete answer."""
@@ -167,16 +171,16 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header, unless it is a trailer or follows the answer."""
         if not self._status and not self._is_complete:
-            add_header(self._headers, name, value)
-            self.client.budget.hold(self, HEADER_OBJECT_BYTES)
+            self._fields.add(name, value)
+            self._received_headers += 1
 
     def on_headers_complete(self) -> None:
         """Read the status; skip interim responses, and complete the answer to HEAD."""
         status = self.parser.get_status_code()
         if self._is_complete:
             return
+        self._headers = self._fields.take()
         if status < _FIRST_FINAL_STATUS:
-            self._headers = {}
             return
         self._status = status
         self._is_close_delimited = (
@@ -262,6 +266,7 @@
 
     def _release(self) -> None:
         """Give up the memory of the answer."""
+        self._fields = HeaderCollector()
         self._headers = {}
         self._body = BodyBuffer()
         self.client.budget.release(self)
