HTTP server: uploads in small chunks take no more memory than their bytes

Each part of an upload was an object; 1.1 MB received in chunks of two bytes took 6.9 MB, so that one upload within the limit of 64 MB could have taken over 400 MB of a daemon with 300 MB. The body is collected in one buffer, as answers are.

--- a/knapweedlead/http/_caller.py
+++ b/knapweedlead/http/_caller.py
@@ -7,6 +7,7 @@
 import attrs
 import httptools
 
+from knapweedlead.http._body import BodyBuffer
 from knapweedlead.http._headers import HeaderCollector, response_bytes
 
 if TYPE_CHECKING:
@@ -79,7 +80,7 @@
         self._url = b""
         self._fields = HeaderCollector()
         self._headers: dict[str, str] = {}
-        self._body: list[bytes] = []
+        self._body = BodyBuffer()
         self._size = 0
         self._framed_size = 0
         self._is_in_head = True
@@ -175,7 +176,7 @@
         """Start the request, or queue it behind the exchange in flight."""
         method = self.parser.get_method().decode("latin-1")
         path = self._url.decode("latin-1")
-        request = (method, path, self._headers, b"".join(self._body))
+        request = (method, path, self._headers, self._body.take())
         self._pipeline.append((request, self._keeps_alive))
         self._is_in_head = True
         self._framed_size = 0
