HTTP server: framing without end is refused after the size of a head

Bytes after the head that add nothing to the body (chunk extensions, trailers) were limited like a body, with up to 128 MB; the parser keeps the value of a trailer and copies it with each part: 8 ms for 1 MB, 137 ms for 4 MB, with the square of its size. Now they are limited like a head. Trailers within that are accepted at every split.

--- a/knapweedlead/http/_caller.py
+++ b/knapweedlead/http/_caller.py
@@ -74,6 +74,7 @@
         self._parse_failure = ""
         self._last_active_at = 0.0
         self._request_started_at = 0.0
+        self._has_progressed = False
         self._reset()
 
     def _reset(self) -> None:
@@ -83,6 +84,7 @@
         self._body = BodyBuffer()
         self._size = 0
         self._framed_size = 0
+        self._size_beside_body = 0
         self._is_in_head = True
         self._keeps_alive = True
         self._max_header_bytes = self.server.limits.max_header_bytes
@@ -113,6 +115,7 @@
             return
         if not self._request_started_at:
             self._request_started_at = asyncio.get_running_loop().time()
+        self._has_progressed = False
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade as upgrade:
@@ -135,7 +138,9 @@
         limit = limits.max_header_bytes
         if not self._is_in_head:
             limit = _MAX_FRAMING_FACTOR * limits.max_body_bytes
-        if self._framed_size > limit + received:
+            self._size_beside_body += 0 if self._has_progressed else received
+        is_framing_too_large = self._size_beside_body > limits.max_header_bytes
+        if is_framing_too_large or self._framed_size > limit + received:
             self._reject("request_too_large")
 
     def on_message_begin(self) -> None:
@@ -160,6 +165,7 @@
         """Read the keep-alive mode and send ``100 Continue`` if requested."""
         self._size = 0
         self._framed_size = 0
+        self._has_progressed = True
         self._is_in_head = False
         self._headers = self._fields.take()
         self._keeps_alive = self.parser.should_keep_alive()
@@ -169,6 +175,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Add a part of the body."""
+        self._has_progressed = True
         self._check_size(len(body), self.server.limits.max_body_bytes)
         self._body.append(body)
 
@@ -180,6 +187,8 @@
         self._pipeline.append((request, self._keeps_alive))
         self._is_in_head = True
         self._framed_size = 0
+        self._size_beside_body = 0
+        self._has_progressed = True
         self._request_started_at = 0.0
         self._start_next()
 
