Quarantine: a request under which servers end one after the other is sent to no further one

Cause: what a call does to its server was forgotten with the call. Callers repeat the request nine times a second, the daemons send it to whichever server is up, and retry it themselves.

Evidence: with the request lines logged (trial), the same target is among the lost calls of each end. Ruled out: the daemons' own retries alone (one a call, within maxAttempts).

Change: a run whose connection breaks off is kept until the server's address refuses a connection or belongs to another start. All daemons hear of the end with the fingerprints of the lost requests, and refuse a request as not run for 60 s, then twice as long each time, once servers have ended under it one after the other and no later run completed. Runs at the same time count once, and a request that completed recently needs more ends over more time.

--- a/knapweedlead/http/__init__.py
+++ b/knapweedlead/http/__init__.py
@@ -2,11 +2,12 @@
 
 from knapweedlead.http._addresses import split_address
 from knapweedlead.http._caller import HttpLimits
-from knapweedlead.http._client import BackendServerClient
+from knapweedlead.http._client import REFUSED, BackendServerClient
 from knapweedlead.http._run import HttpAnswer
 from knapweedlead.http._server import CallerServer, HttpRequest
 
 __all__ = [
+    "REFUSED",
     "BackendServerClient",
     "CallerServer",
     "HttpAnswer",
--- a/knapweedlead/http/_client.py
+++ b/knapweedlead/http/_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 from collections.abc import Callable
+from functools import partial
 
 from knapweedlead.http._addresses import split_address
 from knapweedlead.http._budget import BufferBudget
@@ -15,6 +16,8 @@
 """Fraction of the server's ``Keep-Alive`` timeout for which a connection is reused."""
 MAX_BUFFERED_BYTES = 32 * 1024 * 1024
 """Memory that the unfinished answers of a client take together."""
+REFUSED = "connection refused"
+"""Cause of a failure if nothing accepts connections at the server's address."""
 CONNECT_TIMEOUT = 1.0
 """Time limit for opening a connection; callers use the same limit."""
 
@@ -41,6 +44,8 @@
         if there is none.
     accepts_close_delimited : bool
         Whether the end of the connection may delimit the body of an answer.
+    on_disconnected : callable or None
+        Called when the last open connection is lost.
 
     Attributes
     ----------
@@ -61,7 +66,9 @@
         on_failure: Callable[[int, bool, str], None],
         request_id_header: str = "",
         accepts_close_delimited: bool = False,
+        on_disconnected: Callable[[], None] | None = None,
     ) -> None:
+        self.on_disconnected = on_disconnected
         self.request_id_header = request_id_header
         self.accepts_close_delimited = accepts_close_delimited
         self.discarded_answers = 0
@@ -74,6 +81,7 @@
         self._idle: dict[RunProtocol, None] = {}
         self._protocol_by_run: dict[int, RunProtocol] = {}
         self._task_by_run: dict[int, asyncio.Task[RunProtocol]] = {}
+        self._checks: set[asyncio.Task[RunProtocol]] = set()
         self._connection_count = 0
 
     @property
@@ -183,8 +191,7 @@
         self._task_by_run.pop(run, None)
         if task.cancelled() or task.exception() is not None:
             self._connection_count -= 1
-            detail = "cancelled" if task.cancelled() else repr(task.exception())
-            self.on_failure(run, False, detail)
+            self.on_failure(run, False, _failure_detail(task))
             return
         self.connections_opened += 1
         protocol = task.result()
@@ -217,11 +224,43 @@
         if run:
             self._protocol_by_run.pop(run, None)
             self.on_failure(run, True, detail)
+        if not self._connection_count and self.on_disconnected is not None:
+            self.on_disconnected()
+
+    def check_listening(self, on_refused: Callable[[], None]) -> None:
+        """Open a connection for later runs; report if the address refuses it."""
+        self._connection_count += 1
+        task = asyncio.ensure_future(self._connect(CONNECT_TIMEOUT))
+        self._checks.add(task)
+        task.add_done_callback(partial(self._on_checked, on_refused))
+
+    def _on_checked(
+        self, on_refused: Callable[[], None], task: asyncio.Task[RunProtocol]
+    ) -> None:
+        self._checks.discard(task)
+        if task.cancelled() or task.exception() is not None:
+            self._connection_count -= 1
+            if _failure_detail(task) == REFUSED:
+                on_refused()
+            return
+        self.connections_opened += 1
+        protocol = task.result()
+        if not protocol.is_closed:
+            protocol.idle_since = asyncio.get_running_loop().time()
+            self._idle[protocol] = None
 
     def close(self) -> None:
         """Close all open connections and cancel the pending connection attempts."""
-        for task in list(self._task_by_run.values()):
+        for task in [*self._task_by_run.values(), *self._checks]:
             task.cancel()
         protocols = itertools.chain(self._idle, self._protocol_by_run.values())
         for protocol in list(protocols):
             protocol.abort("closed")
+
+
+def _failure_detail(task: asyncio.Task[RunProtocol]) -> str:
+    """Return why a connection could not be opened."""
+    if task.cancelled():
+        return "cancelled"
+    error = task.exception()
+    return REFUSED if isinstance(error, ConnectionRefusedError) else repr(error)
--- a/knapweedlead/http/tests/test_http_client.py
+++ b/knapweedlead/http/tests/test_http_client.py
@@ -212,3 +212,38 @@
         protocol.connection_lost(None)
     assert time.process_time() - started_at < MAX_SECONDS
     assert client.open_connections == 0
+
+
+async def test_check_tells_that_nothing_listens_or_keeps_the_connection():
+    refused = []
+    async with ScriptedServer(OK_ANSWER) as server:
+        client = server.client
+        client.check_listening(lambda: refused.append("up"))
+        await wait_until(lambda: client._idle)
+        client.run(1, "GET", "/", {}, b"", 5.0)
+        await wait_until(lambda: 1 in server.answers)
+        assert client.connections_opened == 1
+    client = BackendServerClient(free_address(), 4, lambda *_: None, lambda *_: None)
+    client.check_listening(lambda: refused.append("down"))
+    await wait_until(lambda: refused)
+    assert refused == ["down"]
+    assert client.open_connections == 0
+
+
+async def test_loss_of_the_last_connection_is_reported_once():
+    lost = []
+    client = BackendServerClient(
+        "-",
+        8,
+        lambda *_: None,
+        lambda *_: None,
+        on_disconnected=lambda: lost.append(client.open_connections),
+    )
+    protocols = [RunProtocol(client) for _ in range(3)]
+    for protocol in protocols:
+        protocol.connection_made(FakeTransport())
+        client._connection_count += 1
+    for protocol in protocols:
+        assert lost == []
+        protocol.connection_lost(None)
+    assert lost == [0]
--- a/knapweedlead/mesh/__init__.py
+++ b/knapweedlead/mesh/__init__.py
@@ -41,6 +41,15 @@
 from knapweedlead.mesh._lending import TokenExchange
 from knapweedlead.mesh._link_monitor import PROBE_PERIOD, LinkAction, LinkMonitor
 from knapweedlead.mesh._placement import PLACEMENTS, Target
+from knapweedlead.mesh._quarantine import (
+    FINGERPRINT_BYTES,
+    Announcement,
+    Completion,
+    LostRun,
+    Quarantined,
+    RequestQuarantine,
+    ServerEnd,
+)
 from knapweedlead.mesh._quotas import QuotaShares
 from knapweedlead.mesh._relays import RelayChoice, RelayPeer
 from knapweedlead.mesh._reports import BackendServer, ServerReport
@@ -56,14 +65,21 @@
 from knapweedlead.mesh._tickets import Sender, ServerState, Ticket
 
 __all__ = [
+    "FINGERPRINT_BYTES",
     "MAX_CLOCK_LEAD",
     "PROBE_PERIOD",
     "PLACEMENTS",
     "Outbox",
     "add_sums",
+    "Announcement",
     "AttemptTimes",
     "BackendServer",
     "Call",
+    "Completion",
+    "LostRun",
+    "Quarantined",
+    "RequestQuarantine",
+    "ServerEnd",
     "ClientAccount",
     "ColdStartLimiter",
     "DemandExchange",
--- a/knapweedlead/mesh/_calls.py
+++ b/knapweedlead/mesh/_calls.py
@@ -92,6 +92,7 @@
     OUT_OF_SERVICE = "out_of_service"
     NO_BACKEND_SERVER = "no_backend_server"
     UNREACHABLE = "backend_server_unreachable"
+    QUARANTINED = "quarantined"
     FAULT = "fault"
     REJECTED = "rejected_by_backend_server"
     FAILED = "backend_server_failed"
--- a/knapweedlead/mesh/_entry.py
+++ b/knapweedlead/mesh/_entry.py
@@ -18,6 +18,7 @@
 from knapweedlead.mesh._freshness import Freshness
 from knapweedlead.mesh._lending import TokenExchange
 from knapweedlead.mesh._placement import Placement, Target
+from knapweedlead.mesh._quarantine import RequestQuarantine
 from knapweedlead.mesh._quotas import QuotaShares
 from knapweedlead.mesh._refusals import rank_of, status_of
 from knapweedlead.mesh._retry_budget import RetryBudget
@@ -56,6 +57,8 @@
     token_exchange : TokenExchange
     freshness : Freshness
     shedder : Shedder
+    quarantine : RequestQuarantine
+        Requests that are not sent to any server; shared with the guard.
     on_child_call : callable
         Called with the names of the route and of the service of each call of the local
         backend server.
@@ -83,6 +86,7 @@
         token_exchange: TokenExchange,
         freshness: Freshness,
         shedder: Shedder,
+        quarantine: RequestQuarantine,
         on_child_call: Callable[[str, str], None],
         replies: Replies,
         recorder: Recorder,
@@ -95,6 +99,7 @@
         self.token_exchange = token_exchange
         self.freshness = freshness
         self.shedder = shedder
+        self.quarantine = quarantine
         self.on_child_call = on_child_call
         self.replies = replies
         self.recorder = recorder
@@ -234,6 +239,8 @@
     # Attempts.
 
     def _send(self, call: EntryCall, now: float) -> None:
+        if self.quarantine.has_suspects and self._is_quarantined(call, now):
+            return
         targets = self.targets_by_service.get(call.service, ())
         target = self.placement.choose(targets, self.rng, call.tried)
         if target is None:
@@ -247,6 +254,16 @@
         self.recorder.sent(call, now)
         target.channel.send_call(call, call.deadline - now)
 
+    def _is_quarantined(self, call: EntryCall, now: float) -> bool:
+        """Fail a call whose request ends backend servers; return whether it does."""
+        seconds = self.quarantine.remaining(
+            call.route.name, call.call.head, call.call.body, now
+        )
+        if seconds > 0.0:
+            failure = Failure(Reason.QUARANTINED, False, retry_after=seconds)
+            self._fail(call, failure, now)
+        return seconds > 0.0
+
     def answered(
         self,
         number: int,
--- a/knapweedlead/mesh/_guard.py
+++ b/knapweedlead/mesh/_guard.py
@@ -7,7 +7,9 @@
 from knapweedlead.mesh._calls import Failure, Reason, ServerAnswer
 from knapweedlead.mesh._configuration import MeshConfiguration
 from knapweedlead.mesh._demand import DemandModel
+from knapweedlead.mesh._quarantine import RequestQuarantine
 from knapweedlead.mesh._reports import ServerReport
+from knapweedlead.mesh._server_ends import ServerEnds
 from knapweedlead.mesh._server_limits import ServerLimits
 from knapweedlead.mesh._server_monitor import ServerMonitor
 from knapweedlead.mesh._server_notices import NO_NOTICE, ServerNotice
@@ -38,6 +40,8 @@
         Start of this process.
     heartbeat_period : float
         Seconds between the heartbeats of the backend server.
+    quarantine : RequestQuarantine
+        Requests that are not sent to any server; shared with the entry.
     """
 
     def __init__(
@@ -49,12 +53,15 @@
         on_change: Callable[[], None],
         started_at: float,
         heartbeat_period: float,
+        quarantine: RequestQuarantine,
     ) -> None:
         self.service = service
         self.data_centre = data_centre
         self.runner = runner
         self.recorder = recorder
         self.on_change = on_change
+        self.quarantine = quarantine
+        self.ends = ServerEnds()
         self.monitor = ServerMonitor(service, heartbeat_period)
         self.limits = ServerLimits(self.monitor, started_at)
         self.queue = QUEUES.create("priority_fair")
@@ -77,6 +84,7 @@
         if not self.monitor.apply_report(report, now, age):
             return False
         self.limits.update(previous, now)
+        self._confirm_end(now, report.start)
         self._changed(now)
         return True
 
@@ -188,6 +196,9 @@
             return Failure(Reason.NO_BACKEND_SERVER, False)
         if ticket.deadline <= now:
             return Failure(Reason.DEADLINE, False)
+        seconds = self.quarantine.remaining(ticket.route, ticket.head, ticket.body, now)
+        if seconds > 0.0:
+            return Failure(Reason.QUARANTINED, False, retry_after=seconds)
         return None
 
     def _has_capacity(self, now: float) -> bool:
@@ -284,6 +295,7 @@
         """
         self._end(ticket)
         self._record_answer(now)
+        self._record_completion(ticket, now)
         self.monitor.record_service_time(now - ticket.started_at)
         self.demand.record_slot_time(ticket.route, now - ticket.started_at)
         self.monitor.record_outcome(False)
@@ -317,6 +329,7 @@
         """Report a call that another instance at the server's address declined."""
         self._end(ticket)
         self.monitor.record_unreachable(ticket.started_at)
+        self._confirm_end(now)
         self._report(ticket, Failure(Reason.UNREACHABLE, False))
         self._changed(now)
 
@@ -328,9 +341,29 @@
             self._changed(now)
         elif not ticket.is_cancelled and failure.reason is not Reason.DEADLINE:
             self.monitor.record_outcome(True)
+            if failure.reason is Reason.FAILED:
+                self.ends.record_lost(ticket, now)
         self._report(ticket, failure)
         self._start_queued(now)
 
+    def record_refused_connection(self, now: float) -> None:
+        """Record that the server's address refused a connection."""
+        self._confirm_end(now)
+
+    def _confirm_end(self, now: float, present: tuple[str, int] | None = None) -> None:
+        """Report the end of the server if runs were lost to it."""
+        end = self.ends.confirm(now, present)
+        if end is not None:
+            quarantined = self.quarantine.report_end(end, now)
+            self.recorder.server_ended(end, quarantined)
+
+    def _record_completion(self, ticket: Ticket, now: float) -> None:
+        self.ends.record_answer(ticket, now)
+        if self.quarantine.has_suspects:
+            self.quarantine.report_completion(
+                ticket.route, ticket.head, ticket.body, ticket.started_at, now
+            )
+
     def handle_fault(self, ticket: Ticket, error: Exception) -> None:
         """End a call in whose handling an exception was raised, as unknown."""
         self.recorder.fault("run", error)
--- a/knapweedlead/mesh/_tickets.py
+++ b/knapweedlead/mesh/_tickets.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from knapweedlead.mesh._guard import Guard
+    from knapweedlead.mesh._quarantine import Quarantined, ServerEnd
 
 
 @attrs.define(eq=False)
@@ -100,6 +101,9 @@
     ) -> None:
         """Record that an answer changed what is known about the backend server."""
 
+    def server_ended(self, end: "ServerEnd", quarantined: "list[Quarantined]") -> None:
+        """Record that the backend server ended, and what is quarantined therefore."""
+
     def attempt_failed(self, ticket: Ticket, failure: Failure, guard: "Guard") -> None:
         """Record a call that ended without an answer."""
 
--- a/knapweedlead/mesh/tests/harness.py
+++ b/knapweedlead/mesh/tests/harness.py
@@ -14,6 +14,7 @@
     MeshConfiguration,
     QuotaShares,
     RequestLimits,
+    RequestQuarantine,
     Route,
     ServerAnswer,
     ServerReport,
@@ -130,6 +131,7 @@
         heartbeat_period=1.5,
         **report,
     ):
+        self.announcements = []
         self.runner = RecordingRunner()
         self.sender = RecordingSender()
         self.guard = Guard(
@@ -140,6 +142,7 @@
             lambda: None,
             started_at,
             heartbeat_period,
+            RequestQuarantine(self.announcements.append),
         )
         self.guard.apply_configuration(make_configuration(), frozenset(), now)
         self.guard.apply_report(make_report(**report), now, age)
@@ -228,6 +231,9 @@
     def server_noticed(self, ticket, notice, guard):
         """Ignore a notice."""
 
+    def server_ended(self, end, quarantined):
+        """Ignore the end of a server."""
+
     def attempt_failed(self, ticket, failure, guard):
         """Ignore a failed attempt."""
 
@@ -252,6 +258,7 @@
         self.freshness = Freshness()
         self.quotas = QuotaShares("self", 5.0, 0.0)
         self.children = []
+        self.quarantine = RequestQuarantine(lambda announcement: None)
         self.entry = Entry(
             EntrySettings(max_staleness, 0.1, 20.0),
             {"lines": self.targets},
@@ -260,6 +267,7 @@
             TokenExchange(self.quotas, lambda: lenders, rng),
             self.freshness,
             Shedder(rng),
+            self.quarantine,
             lambda route, service: self.children.append((route, service)),
             self.replies,
             NullRecorder(),
--- a/knapweedlead/platform/tests/standin_server.py
+++ b/knapweedlead/platform/tests/standin_server.py
@@ -46,6 +46,10 @@
     ----------
     behaviour : str
         ``"answer"``, ``"decline"`` (not executed) or ``"cut"`` (connection closed).
+    deadly_path : str
+        Path of a request under which the server ends, with all of its connections.
+    ends : int
+        Number of times that the server has ended.
     notices : dict
         Headers that are added to all answers.
     received : list of ReceivedRequest
@@ -66,6 +70,8 @@
         self.service_time = 0.0
         self.received = []
         self.behaviour = "answer"
+        self.deadly_path = ""
+        self.ends = 0
         self.notices = {}
         self._sequence = itertools.count(1)
         self._runs = itertools.count(1)
@@ -95,6 +101,20 @@
         await self.server.start(self.address)
         self._task = asyncio.ensure_future(self._send_heartbeats())
 
+    def end(self):
+        """End as a process does that crashes; `start` begins a new start."""
+        self.ends += 1
+        self._task.cancel()
+        self.server.stop_listening()
+        for protocol in list(self.server._protocols):
+            protocol.transport.abort()
+        self.server = CallerServer(
+            self._on_request, lambda exchange: None, _reject_bad_input
+        )
+        self.instance = f"{self.instance}+"
+        self.born = next(_born)
+        self._sequence = itertools.count(1)
+
     async def stop(self):
         """Stop heartbeats, the listener and all clients."""
         self._task.cancel()
@@ -165,7 +185,12 @@
         if self.behaviour == "cut":
             request.connection.transport.abort()
             return
+        server = self.server
         await asyncio.sleep(self.service_time)
+        if request.path == self.deadly_path and server is self.server:
+            self.end()
+        if server is not self.server:
+            return
         if self.child is not None:
             _, host, path = self.child
             child_headers = {
--- a/knapweedlead/platform/tests/test_odd_entries.py
+++ b/knapweedlead/platform/tests/test_odd_entries.py
@@ -311,6 +311,21 @@
         for value in ODD_NUMBERS
         for fields in ((value, 1), ("i", value))
     ]
+    runs = [
+        [FrameKind.SERVER_ENDED.value, "i", 1, [row]]
+        for value in ODD_NUMBERS
+        for row in (
+            [value, 0.1, 0.0, False],
+            [b"12345678", value, 0.0, False],
+            [b"12345678", 0.1, value, False],
+            [b"12345678", 0.1, 0.0, value],
+        )
+    ]
+    runs += [[FrameKind.SERVER_ENDED.value, "i", 1, value] for value in ODD_NUMBERS]
+    kinds = (FrameKind.REQUESTS_COMPLETED, FrameKind.REQUESTS_QUARANTINED)
+    requests = [[kind.value, [value]] for kind in kinds for value in ODD_NUMBERS]
+    requests += [[kind.value, value] for kind in kinds for value in ODD_NUMBERS]
+    departures += [*runs, *requests]
     short = [[kind.value] for kind in FrameKind]
     unknown = [[kind] for kind in (99, HUGE, -1, None, [], {}, "x", 1.5)]
     return [*probes, *wanted, *departures, *short, *unknown]
--- a/knapweedlead/sidecar/_frame_decoders.py
+++ b/knapweedlead/sidecar/_frame_decoders.py
@@ -22,16 +22,21 @@
     describe,
 )
 from knapweedlead.mesh import (
+    FINGERPRINT_BYTES,
     AttemptTimes,
+    Completion,
     DemandSum,
     Failure,
     FleetChange,
     FleetState,
+    LostRun,
     Member,
+    Quarantined,
     Reason,
     RouteDemand,
     Sender,
     ServerAnswer,
+    ServerEnd,
     ServerState,
     Ticket,
     checked_member,
@@ -61,6 +66,7 @@
 """Fields of a probe with the sender's name but without its data centre; probes after
 the first one of a link have neither."""
 _SERVER_FIELDS = len(attrs.fields(ServerState))
+_RUN_FIELDS = len(attrs.fields(LostRun))
 _MEMBER_FIELDS = len(attrs.fields(Member))
 
 
@@ -334,3 +340,41 @@
     """Return instance and start time of a server that leaves."""
     instance, born = frame[1:3]
     return check_name(instance), check_count(born)
+
+
+@decodes(FrameKind.SERVER_ENDED)
+def decode_server_end(frame: list[Any]) -> ServerEnd:
+    """Return the end of a server in a frame, with the runs that it lost."""
+    instance, born, rows = frame[1:4]
+    runs = tuple(_lost_run(*row[:_RUN_FIELDS]) for row in check_list(rows))
+    return ServerEnd(check_name(instance), check_count(born), runs)
+
+
+def _lost_run(name: Any, started_ago: Any, ended_ago: Any, is_known: Any) -> LostRun:
+    return LostRun(
+        _fingerprint(name),
+        check_amount(started_ago),
+        check_amount(ended_ago),
+        check_flag(is_known),
+    )
+
+
+@decodes(FrameKind.REQUESTS_COMPLETED)
+def decode_completion(frame: list[Any]) -> Completion:
+    """Return the suspect requests in a frame that have completed."""
+    return Completion(tuple(map(_fingerprint, check_list(frame[1]))))
+
+
+@decodes(FrameKind.REQUESTS_QUARANTINED)
+def decode_quarantined(frame: list[Any]) -> list[Quarantined]:
+    """Return the requests in quarantine in a frame."""
+    return [
+        Quarantined(_fingerprint(row[0]), check_amount(row[1]))
+        for row in check_list(frame[1])
+    ]
+
+
+def _fingerprint(value: Any) -> bytes:
+    if type(value) is not bytes or len(value) != FINGERPRINT_BYTES:
+        raise ValueError(f"expected a fingerprint, got {describe(value)}")
+    return value
--- a/knapweedlead/sidecar/_link_host.py
+++ b/knapweedlead/sidecar/_link_host.py
@@ -3,6 +3,7 @@
 from typing import Protocol
 
 from knapweedlead.mesh import (
+    Announcement,
     DemandExchange,
     Departures,
     Entry,
@@ -10,6 +11,7 @@
     FleetState,
     Guard,
     Member,
+    RequestQuarantine,
 )
 from knapweedlead.sidecar._traffic import LinkTraffic
 from knapweedlead.sidecar._wire import PeerState
@@ -41,6 +43,7 @@
     guard: Guard
     demand_exchange: DemandExchange
     departures: Departures
+    quarantine: RequestQuarantine
     traffic: LinkTraffic
 
     @property
@@ -63,6 +66,9 @@
     def handle_departure(self, peer: str, instance: str, born: int) -> None:
         """Handle a peer's word that a start of the local backend server leaves."""
 
+    def handle_announcement(self, announcement: Announcement, peer: str) -> None:
+        """Handle a peer's word about requests that may end backend servers."""
+
     def record_link_change(self, name: str, is_up: bool, detail: str) -> None:
         """Log that a link was opened or lost."""
 
--- a/knapweedlead/sidecar/_outgoing_link.py
+++ b/knapweedlead/sidecar/_outgoing_link.py
@@ -18,11 +18,14 @@
 from knapweedlead.sidecar._frame_decoders import (
     FrameError,
     decode_change,
+    decode_completion,
     decode_demand,
     decode_fleet_state,
     decode_kind,
     decode_number,
     decode_peer_state,
+    decode_quarantined,
+    decode_server_end,
     decode_token_grant,
 )
 from knapweedlead.sidecar._frames import FrameConnection
@@ -210,6 +213,12 @@
         elif kind == FrameKind.DEMAND_FLEET_SUM:
             sender, total = decode_demand(frame)
             self.host.demand_exchange.receive_fleet_sum(sender, total, now)
+        elif kind == FrameKind.SERVER_ENDED:
+            self.host.handle_announcement(decode_server_end(frame), self.name)
+        elif kind == FrameKind.REQUESTS_COMPLETED:
+            self.host.handle_announcement(decode_completion(frame), self.name)
+        elif kind == FrameKind.REQUESTS_QUARANTINED:
+            self.host.quarantine.apply_quarantined(decode_quarantined(frame), now)
         elif kind == FrameKind.TOKEN_GRANT:
             self.host.receive_tokens(*decode_token_grant(frame))
 
--- a/knapweedlead/sidecar/_recorder.py
+++ b/knapweedlead/sidecar/_recorder.py
@@ -13,8 +13,10 @@
     EntryCall,
     Failure,
     Guard,
+    Quarantined,
     Reason,
     ServerAnswer,
+    ServerEnd,
     ServerNotice,
     StorePurpose,
     Ticket,
@@ -30,6 +32,8 @@
 """Bytes buffered while the reader of the standard output is slow."""
 TRACEBACK_FRAMES = 4
 """Innermost functions of a traceback that are logged."""
+MAX_SUSPECTS = 20
+"""Requests that are named in the line about the end of a server."""
 LATENCY_BOUNDS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
 """Upper bounds of the histogram's buckets, in seconds."""
 
@@ -259,6 +263,28 @@
             waiting=len(guard.queued_by_run),
         )
 
+    def server_ended(self, end: ServerEnd, quarantined: list[Quarantined]) -> None:
+        """Record that the backend server ended, and what is quarantined therefore."""
+        self.count("backend_server.ends")
+        self.log(
+            "backend_server_ended",
+            instance=end.instance,
+            born=end.born,
+            runs=len(end.runs),
+            suspects=",".join(run.fingerprint.hex() for run in end.runs[:MAX_SUSPECTS]),
+        )
+        self.requests_quarantined(quarantined, "")
+
+    def requests_quarantined(self, requests: list[Quarantined], source: str) -> None:
+        """Log requests that are not sent to any server from now on."""
+        for request in requests:
+            self.log(
+                "request_quarantined",
+                fingerprint=request.fingerprint.hex(),
+                seconds=round(request.seconds),
+                source=source,
+            )
+
     def attempt_failed(self, ticket: Ticket, failure: Failure, guard: Guard) -> None:
         """Record an attempt without an answer; a cancelled attempt is only counted."""
         self.count("attempts.failed", failure.reason.value)
--- a/knapweedlead/sidecar/_runner.py
+++ b/knapweedlead/sidecar/_runner.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from knapweedlead.http import BackendServerClient, HttpAnswer
+from knapweedlead.http import REFUSED, BackendServerClient, HttpAnswer
 from knapweedlead.mesh import Failure, Guard, Reason, ServerAnswer, Ticket
 from knapweedlead.platform import (
     REQUEST_ID,
@@ -41,6 +41,7 @@
             self._on_failure,
             request_id_header=REQUEST_ID,
             accepts_close_delimited=True,
+            on_disconnected=self._on_disconnected,
         )
         self._ticket_by_run: dict[int, Ticket] = {}
 
@@ -88,6 +89,14 @@
         except Exception as error:
             self.guard.handle_fault(ticket, error)
 
+    def _on_disconnected(self) -> None:
+        """Check whether the server has ended if runs were lost with its connections."""
+        if self.guard.ends.has_lost_runs:
+            self.client.check_listening(self._on_refused)
+
+    def _on_refused(self) -> None:
+        self.guard.record_refused_connection(self.clock())
+
     def _report_failure(self, ticket: Ticket, was_sent: bool, detail: str) -> None:
         now = self.clock()
         if detail == "timeout":
@@ -98,6 +107,8 @@
             failure = Failure(Reason.FAILED, True, True)
         else:
             failure = Failure(Reason.UNREACHABLE, False)
+            if detail == REFUSED:
+                self._on_refused()
         self.guard.failed(ticket, failure, now)
 
 
--- a/knapweedlead/sidecar/_serving.py
+++ b/knapweedlead/sidecar/_serving.py
@@ -18,7 +18,12 @@
 )
 from knapweedlead.sidecar._frames import FrameConnection
 from knapweedlead.sidecar._link_host import LinkHost
-from knapweedlead.sidecar._wire import FrameKind, failure_frame, fleet_state_frame
+from knapweedlead.sidecar._wire import (
+    FrameKind,
+    failure_frame,
+    fleet_state_frame,
+    quarantined_frame,
+)
 
 STATE_PERIOD = 1.5
 """Seconds after which a state follows an answer. A link that carries answers is not
@@ -89,8 +94,15 @@
         self._probe_received_at = self.host.clock()
         if name:
             self._identify(name, data_centre)
+            self._send_quarantined()
         self.send_state()
 
+    def _send_quarantined(self) -> None:
+        """Tell the peer, which may have just started, what is in quarantine."""
+        requests = self.host.quarantine.quarantined(self.host.clock())
+        if requests:
+            self.connection.send(quarantined_frame(requests))
+
     def _identify(self, name: str, data_centre: str) -> None:
         """Record which daemon opened the link."""
         self.peer_name = name
--- a/knapweedlead/sidecar/_sidecar.py
+++ b/knapweedlead/sidecar/_sidecar.py
@@ -10,6 +10,7 @@
     MAX_CLOCK_LEAD,
     PLACEMENTS,
     PROBE_PERIOD,
+    Announcement,
     Call,
     DemandExchange,
     Departures,
@@ -20,6 +21,8 @@
     Member,
     MeshSettings,
     QuotaShares,
+    RequestQuarantine,
+    ServerEnd,
     ServerReport,
     Shedder,
     StopSchedule,
@@ -49,6 +52,7 @@
 )
 from knapweedlead.sidecar._store_sync import StoreSync
 from knapweedlead.sidecar._traffic import LinkTraffic
+from knapweedlead.sidecar._wire import announcement_frame
 
 TICK_PERIOD = 0.02
 """Seconds between checks of deadlines and of queued calls."""
@@ -88,6 +92,7 @@
         self.clock = read_clock
         self.recorder = MeshRecorder(settings.name)
         self.runner = ServerRunner(settings.server_address, self.clock)
+        self.quarantine = RequestQuarantine(self._announce)
         self.guard = Guard(
             settings.service,
             settings.data_centre,
@@ -96,6 +101,7 @@
             self._on_guard_change,
             self.clock(),
             settings.heartbeat_period,
+            self.quarantine,
         )
         self.runner.guard = self.guard
         self.caller_listener = CallerListener(self, settings.service)
@@ -120,6 +126,7 @@
             TokenExchange(self.quotas, self.links.open_links, rng),
             Freshness(),
             Shedder(rng),
+            self.quarantine,
             self.guard.demand.record_child_call,
             self.caller_listener,
             self.recorder,
@@ -375,6 +382,18 @@
                 "backend_server_left", instance=instance, born=born, source=peer
             )
 
+    def _announce(self, announcement: Announcement) -> None:
+        """Tell all peers about requests that may end backend servers."""
+        self.links.broadcast(announcement_frame(announcement))
+
+    def handle_announcement(self, announcement: Announcement, peer: str) -> None:
+        """Handle a peer's word about requests that may end backend servers."""
+        if isinstance(announcement, ServerEnd):
+            quarantined = self.quarantine.apply_end(announcement, self.clock())
+            self.recorder.requests_quarantined(quarantined, peer)
+        else:
+            self.quarantine.apply_completion(announcement)
+
     def lend_tokens(
         self, name: str, wanted: int, is_important: bool
     ) -> tuple[int, float]:
--- a/knapweedlead/sidecar/_traffic.py
+++ b/knapweedlead/sidecar/_traffic.py
@@ -21,6 +21,9 @@
     FrameKind.DEMAND_REPORT: "demand",
     FrameKind.DEMAND_PEER_SUM: "demand",
     FrameKind.DEMAND_FLEET_SUM: "demand",
+    FrameKind.SERVER_ENDED: "quarantine",
+    FrameKind.REQUESTS_COMPLETED: "quarantine",
+    FrameKind.REQUESTS_QUARANTINED: "quarantine",
 }
 
 TrafficCount = Callable[[int, int], None]
--- a/knapweedlead/sidecar/_wire.py
+++ b/knapweedlead/sidecar/_wire.py
@@ -2,17 +2,21 @@
 
 import enum
 import zlib
+from collections.abc import Iterable
 from functools import lru_cache
 from typing import Any
 
 import attrs
 
 from knapweedlead.mesh import (
+    Announcement,
+    Completion,
     DemandSum,
     EntryCall,
     Failure,
     FleetChange,
     FleetState,
+    Quarantined,
     ServerState,
 )
 
@@ -39,6 +43,9 @@
     DEMAND_PEER_SUM = 14
     DEMAND_FLEET_SUM = 15
     SERVER_DEPARTED = 16
+    SERVER_ENDED = 17
+    REQUESTS_COMPLETED = 18
+    REQUESTS_QUARANTINED = 19
 
 
 def call_frame(call: EntryCall, remaining: float) -> list[Any]:
@@ -166,3 +173,19 @@
             if (weight := part.weight_by_route.get(route, 0.0)) > 0.0
         },
     ]
+
+
+def announcement_frame(announcement: Announcement) -> list[Any]:
+    """Return the frame that tells peers about requests that may end servers."""
+    if isinstance(announcement, Completion):
+        kind = FrameKind.REQUESTS_COMPLETED.value
+        return [kind, list(announcement.fingerprints)]
+    runs = [list(attrs.astuple(run)) for run in announcement.runs]
+    kind = FrameKind.SERVER_ENDED.value
+    return [kind, announcement.instance, announcement.born, runs]
+
+
+def quarantined_frame(requests: Iterable[Quarantined]) -> list[Any]:
+    """Return the frame with the requests in quarantine."""
+    rows = [[request.fingerprint, request.seconds] for request in requests]
+    return [FrameKind.REQUESTS_QUARANTINED.value, rows]
