HTTP client: an answer joined with one that is broken off fails its run as unknown

Callers saw one success for a request that isn't idempotent and that two servers had run, whenever a server sent the beginning of a refusal, broken off in its head, before the answer.

Cause: a header that is broken off has no line end, so the status line behind it becomes part of its value, "Knapweedlead-Not-Executed: 1HTTP/1.1 200 OK", and the rest of the head, with the run's request ID, belongs to the sound answer. The message had the identity of the answer and the meaning of the refusal.

Evidence: every split of seven other answers before a sound one, without a network. Ruled out: a refusal of an earlier request taken for the answer (discarded, since it bears another ID or none).

Change: a reason or header value that ends in a status line fails the run as unknown and closes the connection, so nothing that may have run is sent again. Headers that merely name a protocol are unaffected.

--- a/knapweedlead/http/_run.py
+++ b/knapweedlead/http/_run.py
@@ -1,6 +1,7 @@
 """One connection to a backend server, which processes one run at a time."""
 
 import asyncio
+import re
 from typing import TYPE_CHECKING
 
 import attrs
@@ -23,6 +24,8 @@
 """Answers with another request ID that are discarded during one run."""
 
 _FIRST_FINAL_STATUS = 200
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}(?: [^\r\n]*)?$")
+"""Status line at the end of a line that began as something else."""
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
@@ -47,6 +50,10 @@
     one too, unless the run is the first one of the connection. Such an answer fails its
     run, and a connection whose server names no ID serves one run only.
 
+    A faulty server may send the beginning of another answer before the answer to the
+    run. The status line of the answer then ends up in the reason or in a header of the
+    other one, whose status and headers say nothing about the run. Such a run fails.
+
     Parameters
     ----------
     client : BackendServerClient
@@ -91,6 +98,8 @@
         self._is_complete = False
         self._is_close_delimited = False
         self._has_extra_bytes = False
+        self._is_joined = False
+        self._reason = bytearray()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -149,6 +158,9 @@
                 self.abort("malformed answer")
                 return
             self._has_extra_bytes = True
+        if self._is_joined:
+            self.abort("answer joined with another one")
+            return
         if self._is_complete:
             self._finish_run()
             return
@@ -165,12 +177,19 @@
 
     def on_message_begin(self) -> None:
         """Record whether another message follows the complete answer."""
+        self._reason = bytearray()
         if self._is_complete:
             self._has_extra_bytes = True
 
+    def on_status(self, reason: bytes) -> None:
+        """Add a part of the reason in the status line."""
+        self._reason.extend(reason)
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header, unless it is a trailer or follows the answer."""
         if not self._status and not self._is_complete:
+            if b"HTTP/" in value:
+                self._is_joined |= _STATUS_LINE.search(value) is not None
             self._fields.add(name, value)
             self._received_headers += 1
 
@@ -179,6 +198,8 @@
         status = self.parser.get_status_code()
         if self._is_complete:
             return
+        if b"HTTP/" in self._reason:
+            self._is_joined |= _STATUS_LINE.search(self._reason) is not None
         self._headers = self._fields.take()
         if status < _FIRST_FINAL_STATUS:
             return
--- a/knapweedlead/mesh/_guard.py
+++ b/knapweedlead/mesh/_guard.py
@@ -346,6 +346,11 @@
         self._report(ticket, failure)
         self._start_queued(now)
 
+    @property
+    def has_lost_runs(self) -> bool:
+        """Whether runs were lost to a server that may have ended."""
+        return self.ends.has_lost_runs
+
     def record_refused_connection(self, now: float) -> None:
         """Record that the server's address refused a connection."""
         self._confirm_end(now)
--- a/knapweedlead/platform/tests/test_server_answers.py
+++ b/knapweedlead/platform/tests/test_server_answers.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from knapweedlead.http._run import _STATUS_LINE, RunProtocol
+from knapweedlead.http.tests.fakes import FakeTransport
 from knapweedlead.mesh.tests.harness import GuardHarness
 from knapweedlead.sidecar._runner import ServerRunner
 from standins.fleet import free_address
@@ -33,6 +35,8 @@
 class Outcomes:
     """Guard that records how runs end."""
 
+    has_lost_runs = False
+
     def __init__(self):
         self.ends = []
 
@@ -155,3 +159,73 @@
             if is_kept:
                 assert await server.run("first") == ("answered", b"whole")
             assert await server.run("second") == ("may have run",)
+
+
+OWN = answer(200, b"second", extra=SEAL + b"x-note: kept\r\n")
+OTHERS = {
+    "refusal": refusal(None),
+    "refusal of an earlier request": refusal(b"first"),
+    "refusal of another start": refusal(None, 421),
+    "answer": answer(200, None, b"stale", extra=SEAL),
+    "answer to an earlier request": answer(200, b"first", b"stale", extra=SEAL),
+    "failure": answer(500, b"first", b"stale", extra=SEAL),
+    "interim response": b"HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n",
+}
+
+
+class KeptConnection:
+    """A runner with one open connection, whose input the test gives."""
+
+    def __init__(self):
+        self.outcomes = Outcomes()
+        self.runner = ServerRunner("-", time.monotonic)
+        self.runner.guard = self.outcomes
+        self.client = self.runner.client
+        self.protocol = RunProtocol(self.client)
+        self.protocol.connection_made(FakeTransport())
+        self.client._connection_count += 1
+        self.protocol.idle_since = asyncio.get_running_loop().time()
+        self.client._idle[self.protocol] = None
+
+    def run(self, request_id, data, size):
+        """Run a request whose answer arrives in parts; return how it ended."""
+        ticket = GuardHarness().ticket(time.monotonic(), request_id=request_id)
+        ticket.run = len(self.outcomes.ends) + 1
+        ticket.head = b"GET / HTTP/1.1\r\nhost: h\r\n"
+        self.runner.run(ticket, "i-1", 0.5)
+        for start in range(0, len(data), size):
+            if not self.protocol.is_closed:
+                self.protocol.data_received(data[start : start + size])
+        if len(self.outcomes.ends) < ticket.run:
+            self.protocol.connection_lost(None)
+        return self.outcomes.ends[-1][1:]
+
+
+@pytest.mark.parametrize("size", [1, 40, 10**6])
+@pytest.mark.parametrize("name", sorted(OTHERS))
+async def test_answer_behind_part_of_another_one_is_passed_on_unchanged_or_unknown(
+    name, size
+):
+    # Guards against a request that ran and is taken as not run, and so runs twice,
+    # since its answer joined with bytes that belong to no request.
+    first = answer(200, b"first", extra=SEAL)
+    other = OTHERS[name]
+    for end in range(len(other) + 1):
+        kept = KeptConnection()
+        assert kept.run("first", first, 10**6) == ("answered", b"whole")
+        outcome = kept.run("second", other[:end] + OWN, size)
+        assert outcome in (("answered", b"whole"), ("may have run",)), other[:end]
+
+
+async def test_status_of_a_joined_answer_is_never_passed_on():
+    # Guards against the status of one answer with the seal of another one.
+    for other in (b"HTTP/1.1 500 x", b"HTTP/1.1 404 x\r\na: b", b"HTTP/1.1 200 "):
+        async with ScriptedServer(OWN, other + OWN) as server:
+            await server.run("second")
+            assert await server.run("second") == ("may have run",)
+
+
+def test_header_that_merely_names_a_protocol_is_accepted():
+    # Guards against sound answers that are taken for joined ones.
+    for value in (b"1.1 HTTP/1.1", b"HTTP/2.0, HTTP/1.1", b"HTTP/1.1 gateway"):
+        assert _STATUS_LINE.search(value) is None
--- a/knapweedlead/sidecar/_runner.py
+++ b/knapweedlead/sidecar/_runner.py
@@ -91,7 +91,7 @@
 
     def _on_disconnected(self) -> None:
         """Check whether the server has ended if runs were lost with its connections."""
-        if self.guard.ends.has_lost_runs:
+        if self.guard.has_lost_runs:
             self.client.check_listening(self._on_refused)
 
     def _on_refused(self) -> None:
