HTTP server: requests and unread responses are limited over all connections, and answered bodies are released

Callers saw connections closed without an answer when the daemon was killed for its memory, after some 33 uploads of 8 MB that had all been answered.

Cause: a connection kept the body of its last request until the next one began, and no limit covered all connections together.

Change: the bytes of all requests that are not answered yet may take a quarter of the memory that the settings name. Over that, the connection with most bytes that have not been passed on is refused with 503 and Retry-After; requests in flight are never given up. Unread responses may take an eighth.

Ruled out: exchanges that stay open (none was after the answers).

--- a/knapweedlead/http/_caller.py
+++ b/knapweedlead/http/_caller.py
@@ -8,7 +8,11 @@
 import httptools
 
 from knapweedlead.http._body import BodyBuffer
-from knapweedlead.http._headers import HeaderCollector, response_bytes
+from knapweedlead.http._headers import (
+    HEADER_OBJECT_BYTES,
+    HeaderCollector,
+    response_bytes,
+)
 
 if TYPE_CHECKING:
     from knapweedlead.http._server import CallerServer
@@ -44,6 +48,9 @@
 ParsedRequest = tuple[str, str, dict[str, str], bytes]
 """Method, request target, headers and body."""
 
+_PendingRequest = tuple[ParsedRequest, bool, int]
+"""Request, whether its connection is kept, and the bytes that it takes."""
+
 
 class CallerProtocol(asyncio.Protocol):
     """Parses pipelined requests, starts one at a time, and replies in order.
@@ -57,6 +64,8 @@
     ----------
     exchange : int
         Identifier of the exchange in flight; 0 if there is none.
+    exchange_size : int
+        Bytes that the request in flight takes.
     """
 
     def __init__(self, server: "CallerServer") -> None:
@@ -64,7 +73,8 @@
         self.transport: asyncio.Transport = None  # type: ignore[assignment]
         self.parser = httptools.HttpRequestParser(self)
         self.exchange = 0
-        self._pipeline: deque[tuple[ParsedRequest, bool]] = deque()
+        self.exchange_size = 0
+        self._pipeline: deque[_PendingRequest] = deque()
         self._is_head_method = False
         self._closes_after_reply = False
         self._closes_when_idle = False
@@ -82,6 +92,7 @@
         self._fields = HeaderCollector()
         self._headers: dict[str, str] = {}
         self._body = BodyBuffer()
+        self._memory = 0
         self._size = 0
         self._framed_size = 0
         self._size_beside_body = 0
@@ -124,6 +135,14 @@
             self._reject(self._parse_failure or "malformed_request")
         else:
             self._check_framing(len(data))
+        self._update_memory()
+
+    def _update_memory(self) -> None:
+        """Record the memory of requests that have not been passed on."""
+        memory = self._memory
+        if self._pipeline:
+            memory += sum(size for _, _, size in self._pipeline)
+        self.server.update_request_memory(self, memory)
 
     def _ignore_upgrade(self, rest: bytes) -> None:
         """Continue with HTTP/1.1; a server may ignore an ``Upgrade`` header."""
@@ -150,6 +169,7 @@
     def on_url(self, url: bytes) -> None:
         """Add a part of the request target."""
         self._url += url
+        self._memory += len(url)
         self._check_size(len(url), self.server.limits.max_header_bytes)
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -159,6 +179,7 @@
             self._parse_failure = "request_too_large"
             raise ValueError("request too large")
         if self._is_in_head:
+            self._memory += len(name) + len(value) + HEADER_OBJECT_BYTES
             self._fields.add(name, value)
 
     def on_headers_complete(self) -> None:
@@ -177,14 +198,18 @@
         """Add a part of the body."""
         self._has_progressed = True
         self._check_size(len(body), self.server.limits.max_body_bytes)
+        self._memory += len(body)
         self._body.append(body)
 
     def on_message_complete(self) -> None:
         """Start the request, or queue it behind the exchange in flight."""
+        if self._rejection:
+            return
         method = self.parser.get_method().decode("latin-1")
         path = self._url.decode("latin-1")
         request = (method, path, self._headers, self._body.take())
-        self._pipeline.append((request, self._keeps_alive))
+        self._pipeline.append((request, self._keeps_alive, self._memory))
+        self._memory = 0
         self._is_in_head = True
         self._framed_size = 0
         self._size_beside_body = 0
@@ -202,7 +227,7 @@
         self._update_reading()
         if self.exchange or not self._pipeline or not self._can_write:
             return
-        request, keeps_alive = self._pipeline.popleft()
+        request, keeps_alive, self.exchange_size = self._pipeline.popleft()
         self._closes_after_reply = not keeps_alive
         self._is_head_method = request[0] == "HEAD"
         self.server.start_exchange(self, request)
@@ -231,9 +256,18 @@
             self.transport.close()
         elif self._pipeline:
             self._start_next()
+            self._update_memory()
         elif self._rejection:
             self._write_rejection()
 
+    def shed(self) -> None:
+        """Refuse all requests of this connection that have not been passed on."""
+        self._pipeline.clear()
+        self._reset()
+        self._update_memory()
+        self._update_reading()
+        self._reject("overloaded")
+
     def close_when_idle(self) -> None:
         """Close the connection after the pending replies."""
         self._closes_when_idle = True
@@ -257,11 +291,14 @@
         """Suspend reading and starting requests until the write buffer has drained."""
         self._can_write = False
         self._update_reading()
+        self.server.check_unread_responses(self)
 
     def resume_writing(self) -> None:
         """Resume with the next pending request."""
         self._can_write = True
+        self.server.response_memory.release(self)
         self._start_next()
+        self._update_memory()
 
     def _reject(self, reason: str) -> None:
         self._rejection = reason
--- a/knapweedlead/http/_headers.py
+++ b/knapweedlead/http/_headers.py
@@ -3,6 +3,9 @@
 from functools import lru_cache
 from http import HTTPStatus
 
+HEADER_OBJECT_BYTES = 160
+"""Memory that a header takes besides its bytes."""
+
 _HEADER_NAME_CACHE_SIZE = 1024
 
 _PHRASE_BY_STATUS = {status.value: status.phrase for status in HTTPStatus}
--- a/knapweedlead/http/_run.py
+++ b/knapweedlead/http/_run.py
@@ -8,7 +8,7 @@
 import httptools
 
 from knapweedlead.http._body import BodyBuffer
-from knapweedlead.http._headers import HeaderCollector
+from knapweedlead.http._headers import HEADER_OBJECT_BYTES, HeaderCollector
 
 if TYPE_CHECKING:
     from knapweedlead.http._client import BackendServerClient
@@ -18,8 +18,6 @@
 MAX_HEAD_BYTES = 64 * 1024
 """Size limit of all bytes up to the end of the headers, with interim responses, and of
 the bytes after that which add nothing to the body, such as trailers."""
-HEADER_OBJECT_BYTES = 160
-"""Memory that a header takes besides its bytes."""
 MAX_DISCARDED_ANSWERS = 8
 """Answers with another request ID that are discarded during one run."""
 
--- a/knapweedlead/http/_server.py
+++ b/knapweedlead/http/_server.py
@@ -6,10 +6,15 @@
 
 import attrs
 
+from knapweedlead.http._budget import BufferBudget
 from knapweedlead.http._caller import CallerProtocol, HttpLimits, ParsedRequest
 from knapweedlead.http._listener import Listener
 
 MAX_CALLER_CONNECTIONS = 8192
+MAX_REQUEST_MEMORY = 64 * 1024 * 1024
+"""Bytes that the requests of all connections take until they are answered."""
+MAX_RESPONSE_MEMORY = 32 * 1024 * 1024
+"""Bytes of responses that callers have not read yet."""
 FAULT_STATUS = 502
 """Status of the reply to a request whose handler raised an exception. It promises
 nothing, since the request may have been passed on."""
@@ -67,6 +72,15 @@
         Maximum number of connections; further ones are refused as ``overloaded``.
     limits : HttpLimits or None
         Limits on requests; the attribute may be replaced at any time.
+    max_request_memory : int
+        Bytes that all requests may take until they are answered. If they take more,
+        the connection that sent most without having been answered or passed on is
+        refused as ``overloaded``.
+    max_response_memory : int
+        Bytes of responses that callers may leave unread together. If they leave more,
+        the connection with most of them is closed.
+    on_unread_response : callable
+        Called with the address of a caller that is disconnected for unread responses.
     """
 
     def __init__(
@@ -76,12 +90,22 @@
         on_refused_request: Callable[[str], tuple[int, dict[str, str], bytes]],
         max_connections: int = MAX_CALLER_CONNECTIONS,
         limits: HttpLimits | None = None,
+        max_request_memory: int = MAX_REQUEST_MEMORY,
+        max_response_memory: int = MAX_RESPONSE_MEMORY,
+        on_unread_response: Callable[[str], None] = lambda peer: None,
     ) -> None:
         self.limits = limits or HttpLimits()
         self.on_request = on_request
         self.on_gone = on_gone
         self.on_refused_request = on_refused_request
+        self.on_unread_response = on_unread_response
         self.max_connections = max_connections
+        self.request_memory: BufferBudget[CallerProtocol] = BufferBudget(
+            max_request_memory
+        )
+        self.response_memory: BufferBudget[CallerProtocol] = BufferBudget(
+            max_response_memory
+        )
         self._exchanges = itertools.count(1)
         self._protocol_by_exchange: dict[int, CallerProtocol] = {}
         self._protocols: set[CallerProtocol] = set()
@@ -101,6 +125,7 @@
         protocol = self._protocol_by_exchange.pop(exchange, None)
         if protocol is None:
             return
+        self.request_memory.reserved -= protocol.exchange_size
         try:
             protocol.reply(status, headers, body)
         except Exception as error:
@@ -147,10 +172,20 @@
                 protocol.transport.abort()
 
     def start_exchange(self, protocol: CallerProtocol, request: ParsedRequest) -> int:
-        """Pass on a request and return the identifier of its exchange."""
+        """Pass on a request and return the identifier of its exchange.
+
+        If the requests take too much memory together, the caller is refused instead,
+        and 0 is returned.
+        """
+        memory = self.request_memory
+        memory.release(protocol)
+        if memory.used + memory.reserved + protocol.exchange_size > memory.limit:
+            protocol.shed()
+            return 0
         exchange = next(self._exchanges)
         self._protocol_by_exchange[exchange] = protocol
         protocol.exchange = exchange
+        memory.reserved += protocol.exchange_size
         try:
             self.on_request(HttpRequest(exchange, *request, protocol))
         except Exception as error:
@@ -162,9 +197,31 @@
 
     def abandon_exchange(self, exchange: int) -> None:
         """Report that the caller of an exchange has disconnected."""
-        if self._protocol_by_exchange.pop(exchange, None) is not None:
+        protocol = self._protocol_by_exchange.pop(exchange, None)
+        if protocol is not None:
+            self.request_memory.reserved -= protocol.exchange_size
             self.on_gone(exchange)
 
+    def update_request_memory(self, protocol: CallerProtocol, size: int) -> None:
+        """Record the bytes of a connection's requests that are not passed on yet."""
+        self.request_memory.set(protocol, size)
+        if self.request_memory.is_exceeded and self.request_memory.used:
+            self.request_memory.largest().shed()
+
+    def check_unread_responses(self, protocol: CallerProtocol) -> None:
+        """Record that a caller leaves a response unread."""
+        memory = self.response_memory
+        memory.hold(protocol, protocol.transport.get_write_buffer_size())
+        if not memory.is_exceeded:
+            return
+        for owner in memory.owners():
+            memory.set(owner, owner.transport.get_write_buffer_size())
+        if memory.is_exceeded:
+            largest = memory.largest()
+            memory.release(largest)
+            self.on_unread_response(largest.peer)
+            largest.transport.abort()
+
     def add_connection(self, protocol: CallerProtocol) -> bool:
         """Register an open connection; return whether it is within the limit."""
         self._protocols.add(protocol)
@@ -173,6 +230,8 @@
     def remove_connection(self, protocol: CallerProtocol) -> None:
         """Unregister a closed connection."""
         self._protocols.discard(protocol)
+        self.request_memory.release(protocol)
+        self.response_memory.release(protocol)
 
 
 def _report_fault(step: str, error: Exception) -> None:
--- a/knapweedlead/http/tests/fakes.py
+++ b/knapweedlead/http/tests/fakes.py
@@ -10,6 +10,10 @@
         self.written = b""
         self.is_closed = False
         self.is_reading = True
+        self.unread = 0
+
+    def get_write_buffer_size(self):
+        return self.unread
 
     def write(self, data):
         if not self.is_closed:
@@ -39,7 +43,7 @@
 class RecordingServer(CallerServer):
     """Server that records requests; the test sends the replies."""
 
-    def __init__(self, max_connections=100, replies_immediately=False):
+    def __init__(self, max_connections=100, replies_immediately=False, **options):
         self.requests = []
         self.abandoned_exchanges = []
         self.refusal_reasons = []
@@ -49,6 +53,7 @@
             self.abandoned_exchanges.append,
             self._record_refusal,
             max_connections,
+            **options,
         )
 
     def _record_request(self, request):
--- a/knapweedlead/sidecar/_listeners.py
+++ b/knapweedlead/sidecar/_listeners.py
@@ -19,6 +19,14 @@
 )
 from knapweedlead.sidecar._recorder import MeshRecorder
 
+REQUEST_MEMORY_SHARE = 0.25
+"""Fraction of the process's memory for requests that are not answered yet. A body is
+copied up to twice more while it is sent to a peer or to the backend server."""
+RESPONSE_MEMORY_SHARE = 0.125
+"""Fraction of the process's memory for responses that callers have not read."""
+OVERLOADED_RETRY_AFTER = 1.0
+"""Seconds after which a caller that was refused for want of memory may return."""
+
 _JSON = {"content-type": "application/json"}
 _STATUS_BY_BAD_INPUT = {
     "malformed_request": 400,
@@ -47,13 +55,20 @@
     host : CallHost
     local_service : str
         Service of the local backend server.
+    memory : int
+        Bytes that the process may use.
     """
 
-    def __init__(self, host: CallHost, local_service: str) -> None:
+    def __init__(self, host: CallHost, local_service: str, memory: int) -> None:
         self.host = host
         self.local_service = local_service
         self.server = CallerServer(
-            self._on_request, host.handle_disconnect, self._on_bad_input
+            self._on_request,
+            host.handle_disconnect,
+            self._on_bad_input,
+            max_request_memory=int(REQUEST_MEMORY_SHARE * memory),
+            max_response_memory=int(RESPONSE_MEMORY_SHARE * memory),
+            on_unread_response=self._on_unread_response,
         )
 
     def set_limits(self, limits: RequestLimits) -> None:
@@ -81,7 +96,13 @@
 
     def _on_bad_input(self, reason: str) -> tuple[int, dict[str, str], bytes]:
         self.host.recorder.bad_input("caller", reason)
-        return _STATUS_BY_BAD_INPUT[reason], {}, b""
+        headers = {}
+        if reason == "overloaded":
+            headers["retry-after"] = f"{OVERLOADED_RETRY_AFTER:.3f}"
+        return _STATUS_BY_BAD_INPUT[reason], headers, b""
+
+    def _on_unread_response(self, peer: str) -> None:
+        self.host.recorder.bad_input("caller", f"unread response to {peer}")
 
     def answer(self, exchange: Any, answer: ServerAnswer) -> None:
         """Send a backend server's answer to the caller."""
--- a/knapweedlead/sidecar/_sidecar.py
+++ b/knapweedlead/sidecar/_sidecar.py
@@ -76,6 +76,8 @@
 """Seconds between the latest deadline of a call that is accepted late in a stop and the
 time at which the daemon stops waiting for answers."""
 
+_BYTES_PER_MB = 1_000_000
+
 
 class Sidecar:
     """One daemon on one event loop.
@@ -104,7 +106,9 @@
             self.quarantine,
         )
         self.runner.guard = self.guard
-        self.caller_listener = CallerListener(self, settings.service)
+        self.caller_listener = CallerListener(
+            self, settings.service, settings.memory_mb * _BYTES_PER_MB
+        )
         self.heartbeat_listener = HeartbeatListener(self)
         self.ready_listener = StatusListener(self._readiness)
         self.metrics_listener = StatusListener(self._metrics)
