Links: a frame larger than the limit of unsent bytes no longer closes its link

Cause: the check for a peer that does not read compared the unsent bytes with 32 MiB right after the frame had been written, so a larger frame always failed it. On arrival a frame was held as a buffer, a copy, a slice and the decoded body at the same time.

Change: the largest frame among the unsent bytes is not counted, and a received frame is released before it is handled.

--- a/knapweedlead/sidecar/_frames.py
+++ b/knapweedlead/sidecar/_frames.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import struct
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -13,7 +14,8 @@
 MAX_FRAME_BYTES = 80 * 1024 * 1024
 """Limit for one frame; larger than the largest request body."""
 MAX_WRITE_BUFFER_BYTES = 32 * 1024 * 1024
-"""Unsent bytes at which the link to a peer that does not read is closed."""
+"""Unsent bytes, besides the largest frame among them, at which the link to a peer that
+does not read is closed."""
 
 _DECODE_ERRORS = (ValueError, EOFError, OverflowError, RecursionError, MemoryError)
 _LENGTH = struct.Struct(">I")
@@ -59,6 +61,7 @@
         self._buffer = bytearray()
         self._needed = _LENGTH.size
         self._pending_writes: list[bytes] = []
+        self._largest_unsent = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and call `on_open`."""
@@ -70,12 +73,20 @@
         """Decode all complete frames received so far.
 
         Parts of an incomplete frame are collected until it is complete, so that each
-        of its bytes is copied a bounded number of times.
+        of its bytes is copied a bounded number of times. A frame is released before it
+        is handled, since it may be large.
         """
+        frames = self._split(data)
+        while frames:
+            self._decode(frames.popleft())
+
+    def _split(self, data: bytes) -> deque[bytes]:
+        """Return the complete frames received so far, without their lengths."""
+        frames: deque[bytes] = deque()
         if self._buffer:
             self._buffer += data
             if len(self._buffer) < self._needed:
-                return
+                return frames
             data = bytes(self._buffer)
             self._buffer.clear()
         start = 0
@@ -85,14 +96,15 @@
             (length,) = _LENGTH.unpack_from(data, start)
             if length > MAX_FRAME_BYTES:
                 self.abort(f"frame of {length} bytes exceeds the limit")
-                return
+                return frames
             end = start + _LENGTH.size + length
             if end > size:
                 self._needed = end - start
                 break
-            self._decode(data[start + _LENGTH.size : end])
+            frames.append(data[start + _LENGTH.size : end])
             start = end
         self._buffer += data[start:]
+        return frames
 
     def _decode(self, data: bytes) -> None:
         try:
@@ -100,6 +112,7 @@
         except (cbor2.CBORError, *_DECODE_ERRORS) as error:
             self.abort(f"bad frame: {type(error).__name__}")
             return
+        del data
         if not isinstance(frame, list) or not frame:
             self.abort("bad frame: expected a list")
             return
@@ -124,9 +137,14 @@
         pending, self._pending_writes = self._pending_writes, []
         if self.is_closed or self.transport.is_closing():
             return
-        self.transport.write(b"".join(pending))
-        if self.transport.get_write_buffer_size() > MAX_WRITE_BUFFER_BYTES:
+        unsent = self.transport.get_write_buffer_size()
+        if unsent <= MAX_WRITE_BUFFER_BYTES:
+            self._largest_unsent = 0
+        elif unsent > MAX_WRITE_BUFFER_BYTES + self._largest_unsent:
             self.abort("peer does not read")
+            return
+        self._largest_unsent = max(self._largest_unsent, *map(len, pending))
+        self.transport.write(b"".join(pending))
 
     def abort(self, detail: str) -> None:
         """Close the connection at once; `detail` is the reason given to `on_lost`."""
