Guard: calls from peers are limited together by the memory they take

The guard limits how many calls wait and run, and each may have a body of the largest size allowed; calls of all peers together could exceed the memory of the daemon that runs them, which callers would see as lost answers.

Change: heads and bodies of calls from peers, with an amount for each call, may take a quarter of the memory that the settings name. A call beyond that is refused as not run, and its entry offers it to another server.

Before: the new test fails (12 MiB held with a limit of 10). After: it passes, and random sequences of calls, cancellations and lost links give all memory back.

--- a/knapweedlead/http/__init__.py
+++ b/knapweedlead/http/__init__.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server for callers and client for backend servers."""
 
 from knapweedlead.http._addresses import split_address
+from knapweedlead.http._budget import BufferBudget
 from knapweedlead.http._caller import HttpLimits
 from knapweedlead.http._client import REFUSED, BackendServerClient
 from knapweedlead.http._run import HttpAnswer
@@ -9,6 +10,7 @@
 __all__ = [
     "REFUSED",
     "BackendServerClient",
+    "BufferBudget",
     "CallerServer",
     "HttpAnswer",
     "HttpLimits",
--- a/knapweedlead/sidecar/_link_host.py
+++ b/knapweedlead/sidecar/_link_host.py
@@ -2,6 +2,7 @@
 
 from typing import Protocol
 
+from knapweedlead.http import BufferBudget
 from knapweedlead.mesh import (
     Announcement,
     DemandExchange,
@@ -12,6 +13,7 @@
     Guard,
     Member,
     RequestQuarantine,
+    Ticket,
 )
 from knapweedlead.sidecar._traffic import LinkTraffic
 from knapweedlead.sidecar._wire import PeerState
@@ -45,6 +47,7 @@
     departures: Departures
     quarantine: RequestQuarantine
     traffic: LinkTraffic
+    peer_call_memory: BufferBudget[Ticket]
 
     @property
     def fleet(self) -> FleetView:
--- a/knapweedlead/sidecar/_serving.py
+++ b/knapweedlead/sidecar/_serving.py
@@ -28,6 +28,8 @@
 STATE_PERIOD = 1.5
 """Seconds after which a state follows an answer. A link that carries answers is not
 probed, and an answer does not tell how fast the backend server is."""
+CALL_OBJECT_BYTES = 1024
+"""Memory that a call takes besides its head and body."""
 
 
 class AcceptedLink:
@@ -84,10 +86,17 @@
             exchange.receive_peer_sum(sender, part, self.host.clock())
 
     def _handle_cancel(self, frame: list[Any]) -> None:
-        ticket = self.ticket_by_number.pop(decode_number(frame), None)
+        ticket = self._take(decode_number(frame))
         if ticket is not None:
             self.host.guard.cancel(ticket, self.host.clock())
 
+    def _take(self, number: int) -> Ticket | None:
+        """Return a call that is not finished, and forget it."""
+        ticket = self.ticket_by_number.pop(number, None)
+        if ticket is not None:
+            self.host.peer_call_memory.release(ticket)
+        return ticket
+
     def _handle_probe(self, frame: list[Any]) -> None:
         sent_at, name, data_centre = decode_probe(frame)
         self._probe_sent_at = sent_at
@@ -117,12 +126,23 @@
             ticket = decode_call(frame, self, now)
         except FrameError as error:
             self.host.record_bad_frame(self.peer_name, error)
-            failure = Failure(Reason.FAULT, False)
-            self.connection.send(failure_frame(number, failure, self._load()))
+            self._refuse(number, Reason.FAULT)
             return
+        memory = self.host.peer_call_memory
+        size = len(ticket.head) + len(ticket.body) + CALL_OBJECT_BYTES
+        if memory.used + size > memory.limit:
+            self._refuse(number, Reason.OVERLOADED)
+            return
+        self._take(number)
+        memory.hold(ticket, size)
         self.ticket_by_number[number] = ticket
         self.host.guard.offer(ticket, now)
 
+    def _refuse(self, number: int, reason: Reason) -> None:
+        """Tell the peer that a call will not be run."""
+        failure = Failure(reason, False)
+        self.connection.send(failure_frame(number, failure, self._load()))
+
     def send_state(self) -> None:
         """Send the state of this daemon to the peer."""
         self._state_sent_at = self.host.clock()
@@ -131,7 +151,7 @@
 
     def answered(self, ticket: Ticket, answer: ServerAnswer) -> None:
         """Send an answer to the peer."""
-        if self.ticket_by_number.pop(ticket.number, None) is None:
+        if self._take(ticket.number) is None:
             return
         now = self.host.clock()
         times = ticket.times(now)
@@ -152,7 +172,7 @@
 
     def failed(self, ticket: Ticket, failure: Failure) -> None:
         """Send a failure to the peer."""
-        if self.ticket_by_number.pop(ticket.number, None) is not None:
+        if self._take(ticket.number) is not None:
             self.connection.send(failure_frame(ticket.number, failure, self._load()))
 
     def _load(self) -> tuple[int, int]:
@@ -164,6 +184,7 @@
         now = self.host.clock()
         tickets, self.ticket_by_number = self.ticket_by_number, {}
         for ticket in tickets.values():
+            self.host.peer_call_memory.release(ticket)
             self.host.guard.cancel(ticket, now)
 
 
--- a/knapweedlead/sidecar/_sidecar.py
+++ b/knapweedlead/sidecar/_sidecar.py
@@ -6,6 +6,7 @@
 from functools import partial
 from typing import Any
 
+from knapweedlead.http import BufferBudget
 from knapweedlead.mesh import (
     MAX_CLOCK_LEAD,
     PLACEMENTS,
@@ -27,6 +28,7 @@
     Shedder,
     StopSchedule,
     Target,
+    Ticket,
     TokenExchange,
 )
 from knapweedlead.platform import PlatformStore
@@ -76,6 +78,8 @@
 """Seconds between the latest deadline of a call that is accepted late in a stop and the
 time at which the daemon stops waiting for answers."""
 
+PEER_CALL_MEMORY_SHARE = 0.25
+"""Fraction of the process's memory for calls from peers that are not answered yet."""
 _BYTES_PER_MB = 1_000_000
 
 
@@ -137,6 +141,9 @@
             rng,
         )
         self.traffic = LinkTraffic()
+        self.peer_call_memory: BufferBudget[Ticket] = BufferBudget(
+            int(PEER_CALL_MEMORY_SHARE * settings.memory_mb * _BYTES_PER_MB)
+        )
         self._announced: tuple[object, ...] = ()
         self.demand_exchange = DemandExchange(settings.name, settings.data_centre)
         self.load_tracker = LoadTracker(
