Routing: only attempts sent since the probing began count as probes

Callers could see a failing server readmitted after three answers to attempts that had been sent before it was ejected, or a recovered one ejected again by such a failure; and with each answer that returned, one more probe was sent at once.

Cause: the ejector took any result of a server in state "probing" as that of a probe, and each returned attempt reset the number of probes in flight.

Change: an attempt counts as a probe if it was sent after the server had been chosen for probes. The harness of the tests, whose answers came sooner than the latency that it stated, now lets that time pass.

After: all pass.

--- a/knapweedlead/calls/_attempts.py
+++ b/knapweedlead/calls/_attempts.py
@@ -186,7 +186,7 @@
     def cancel(self, call: PendingCall) -> Iterator[Effect]:
         """Cancel the attempt in flight, whose answer is no longer needed."""
         peer = call.peer
-        self.router.record_abandoned(self._detach(call))
+        self.router.record_abandoned(self._detach(call), call.sent_at)
         yield SendMessage(peer, CallCancel(call.request_id, call.call_id, call.attempt))
 
     def expire(self, call: PendingCall, now: float) -> Iterator[Effect]:
--- a/knapweedlead/routing/_ejection.py
+++ b/knapweedlead/routing/_ejection.py
@@ -122,7 +122,7 @@
         due = (server for server in servers if self._is_due(server, may_retry, now))
         server = next(due, None)
         if server is not None:
-            server.advance("period_over")
+            server.start_probing(now)
         return server
 
     def _is_due(self, server: ObservedServer, may_retry: bool, now: float) -> bool:
@@ -169,6 +169,7 @@
         server.ejections = min(server.ejections + 1, 16)
         server.ejected_until = now + period
         server.probes_answered = 0
+        server.probes_in_flight = 0
 
 
 def ejected_servers(servers: Sequence[ObservedServer]) -> list[ObservedServer]:
--- a/knapweedlead/routing/_router.py
+++ b/knapweedlead/routing/_router.py
@@ -155,24 +155,23 @@
         if reason in FAILURE_REASONS:
             self._record_result(server, True, latency, now)
         else:
-            self._record_returned(server)
+            server.record_returned(now - latency)
 
-    def record_abandoned(self, server: ObservedServer) -> None:
+    def record_abandoned(self, server: ObservedServer, sent_at: float) -> None:
         """Record an attempt that was cancelled, whose result is not awaited."""
-        self._record_returned(server)
-
-    def _record_returned(self, server: ObservedServer) -> None:
-        server.in_flight = max(0, server.in_flight - 1)
-        server.probes_in_flight = 0
+        server.record_returned(sent_at)
 
     def _record_result(
         self, server: ObservedServer, is_failure: bool, latency: float, now: float
     ) -> None:
-        self._record_returned(server)
+        is_probe = server.is_probe(now - latency)
+        server.record_returned(now - latency)
         server.record_result(is_failure, latency, now)
         view = self._view_by_service.get(server.member.service)
         if view is None or (server.state == HEALTHY and not is_failure):
             return
+        if server.state != HEALTHY and not is_probe:
+            return
         self.ejector.record_result(server, is_failure, view.servers, now)
         if server.state == HEALTHY:
             view.unhealthy.pop(server.member.name, None)
--- a/knapweedlead/routing/_server.py
+++ b/knapweedlead/routing/_server.py
@@ -63,6 +63,9 @@
         Consecutive ejections.
     probes_in_flight, probes_answered : int
         Probes sent without a result, and consecutive successful probes.
+    probing_since : float
+        When the server was last chosen for probes, in seconds. Attempts sent earlier
+        are no probes.
     report : LoadReport or None
         Latest load report.
     reported_at : float
@@ -86,6 +89,7 @@
     ejections: int = 0
     probes_in_flight: int = 0
     probes_answered: int = 0
+    probing_since: float = 0.0
     report: LoadReport | None = None
     reported_at: float = 0.0
     throttled_until: float = 0.0
@@ -95,6 +99,16 @@
         """Change the state by an event of the state chart ``server.json``."""
         self.state = CHART.advance(self.state, event)
 
+    def start_probing(self, now: float) -> None:
+        """Start to count attempts as probes, unless they count already."""
+        if self.state == EJECTED:
+            self.advance("period_over")
+            self.probing_since = now
+
+    def is_probe(self, sent_at: float) -> bool:
+        """Return whether an attempt sent at a time is a probe."""
+        return self.state == PROBING and sent_at >= self.probing_since
+
     def accepts(self, priority: int, now: float) -> bool:
         """Return whether the server is healthy and admits a call of a priority."""
         return self.state == HEALTHY and self.admits(priority, now)
@@ -152,6 +166,12 @@
         if report is not None and priority >= report.refused_priority:
             self.throttled_until = now + self._throttle_time
 
+    def record_returned(self, sent_at: float) -> None:
+        """Record that an attempt sent at a time is no longer in flight."""
+        self.in_flight = max(0, self.in_flight - 1)
+        if self.is_probe(sent_at):
+            self.probes_in_flight = max(0, self.probes_in_flight - 1)
+
     def record_report(self, report: LoadReport, is_refused: bool, now: float) -> None:
         """Record a load report.
 
--- a/knapweedlead/routing/tests/test_routing.py
+++ b/knapweedlead/routing/tests/test_routing.py
@@ -77,7 +77,7 @@
         server = chosen.ok_value
         self.router.record_sent(server, criteria.get("priority", 1), self.now)
         name = server.member.name
-        self.now += 0.002
+        self.now += max(0.002, latency)
         if is_failing(name):
             reason = RefusalReason.BACKEND_SERVER_FAILED
             self.router.record_refusal(server, 0.0005, reason, IDLE, self.now)
@@ -125,6 +125,68 @@
     assert harness.call_repeatedly(600, latency=0.01)["wear-0"] > 100
 
 
+class SlowCalls:
+    """A server that was ejected while it still processed calls, and is probed."""
+
+    def __init__(self):
+        self.harness = RoutingHarness(THREE_SERVERS, "random")
+        self.harness.call_repeatedly(30)
+        self.server = self.harness.router.by_name["wear-0"]
+        self.sent_at = self.harness.now
+        for _ in range(6):
+            self.harness.router.record_sent(self.server, 1, self.harness.now)
+        self.harness.call_repeatedly(200, is_failing=lambda n: n == "wear-0")
+        assert self.server.state == "ejected"
+        self.harness.now += 60.0
+        assert self.probe() is self.server
+
+    def probe(self):
+        """Send a call; return the server that it is sent to."""
+        server = self.harness.choose().ok_value
+        self.harness.router.record_sent(server, 1, self.harness.now)
+        return server
+
+    def end_slow_call(self, is_failure):
+        """End a call that was sent before the ejection."""
+        self.harness.now += 0.1
+        now = self.harness.now
+        latency = now - self.sent_at
+        self.harness.router.record_answer(self.server, latency, is_failure, IDLE, now)
+
+
+def test_call_sent_before_the_ejection_neither_ends_nor_renews_it():
+    # Guards against a failing server that is readmitted by answers to earlier calls.
+    for is_failure in (False, True):
+        slow = SlowCalls()
+        for _ in range(4):
+            slow.end_slow_call(is_failure)
+        assert slow.server.state == "probing"
+        assert slow.server.probes_answered == 0
+
+
+def test_call_sent_before_the_ejection_leaves_the_probe_in_flight():
+    # Guards against several probes at once of a server that fails.
+    slow = SlowCalls()
+    slow.end_slow_call(False)
+    slow.harness.router.record_abandoned(slow.server, slow.sent_at)
+    assert slow.probe() is not slow.server
+    slow.harness.router.record_answer(slow.server, 0.01, False, IDLE, slow.harness.now)
+    assert slow.probe() is slow.server
+
+
+def test_probe_without_a_result_does_not_prevent_the_next_period():
+    # Guards against a server that is never probed again.
+    slow = SlowCalls()
+    harness, server = slow.harness, slow.server
+    harness.router.record_sent(server, 1, harness.now)
+    harness.now += 0.01
+    reason = RefusalReason.BACKEND_SERVER_FAILED
+    harness.router.record_refusal(server, 0.01, reason, IDLE, harness.now)
+    assert server.state == "ejected"
+    harness.now += 60.0
+    assert slow.probe() is server
+
+
 def test_call_that_must_not_be_retried_serves_as_probe_only_after_a_delay():
     harness = RoutingHarness(THREE_SERVERS, "random")
     harness.call_repeatedly(500, is_failing=lambda n: n == "wear-0")
