Slot owners: a new owner is asked first, not its backup

Callers waited longer for tokens, or for the decision on an idempotency key, after a slot had changed its owner: the member that was asked named the new owner, and the entry asked the new owner's backup next, then others, which named the owner again.

Cause: the number of failed attempts was carried over to the record that the hint brought.

Change: attempts are counted for the owner that the directory names and begin anew with another one. The limit of expedited resends of a claim still counts all of them.

Ruled out: beginning anew with every hint, after which a stale hint makes the same two members the only ones asked.

--- a/knapweedlead/accounts/_balance.py
+++ b/knapweedlead/accounts/_balance.py
@@ -7,6 +7,7 @@
 
 from knapweedlead.accounts._ledger import GRANT_LIFETIME_SECONDS
 from knapweedlead.accounts._messages import TokenGrant
+from knapweedlead.ownership import OwnerAttempts
 
 DEMAND_HORIZON_SECONDS = 0.5
 """Seconds of expected demand that an entry requests in advance."""
@@ -51,7 +52,7 @@
     epoch: int = 0
     requested_at: float = -math.inf
     is_request_pending: bool = False
-    attempt: int = 0
+    attempts: OwnerAttempts = attrs.field(factory=OwnerAttempts)
     reported_tokens: int = 0
     next_request_at: float = 0.0
     last_call_at: float = 0.0
@@ -95,7 +96,7 @@
         if not self.is_request_pending or grant.sequence != self.sequence:
             return False
         self.is_request_pending = False
-        self.attempt = 0
+        self.attempts.failed = 0
         if grant.epoch < self.epoch:
             return False
         self.expire(now)
--- a/knapweedlead/accounts/_escrow.py
+++ b/knapweedlead/accounts/_escrow.py
@@ -128,7 +128,7 @@
     def _request_tokens(
         self, balance: TokenBalance, now: float, returned: int = 0
     ) -> Iterator[Effect]:
-        peer = self.ownership.peer_of(balance.slot, balance.attempt)
+        peer = balance.attempts.peer(self.ownership, balance.slot)
         if not peer:
             balance.next_request_at = now + RETRY_DELAY_SECONDS
             yield from self.ownership.refresh(balance.slot, now)
@@ -204,11 +204,11 @@
         )
 
     def on_hint(self, slot: int, now: float) -> Iterator[Effect]:
-        """Schedule the retry of pending requests of a slot with the next peer."""
+        """Schedule the retry of pending requests of a slot, with a new owner first."""
         for balance in self._balance_by_account.values():
             if balance.slot == slot and balance.is_request_pending:
                 balance.is_request_pending = False
-                balance.attempt += 1
+                balance.attempts.failed += 1
                 balance.next_request_at = now + RETRY_DELAY_SECONDS
                 yield WakeAt(balance.next_request_at)
 
@@ -222,7 +222,7 @@
         self, balance: TokenBalance, now: float
     ) -> Iterator[Effect]:
         balance.is_request_pending = False
-        balance.attempt += 1
+        balance.attempts.failed += 1
         balance.next_request_at = now + RETRY_DELAY_SECONDS
         yield from self.ownership.refresh(balance.slot, now)
         yield WakeAt(balance.next_request_at)
--- a/knapweedlead/accounts/_role.py
+++ b/knapweedlead/accounts/_role.py
@@ -123,5 +123,5 @@
 
     @handles_message(SlotHint)
     def on_hint(self, peer: str, hint: SlotHint, now: float) -> Iterator[Effect]:
-        """Retry pending token requests for the slot of a hint with the next peer."""
+        """Retry pending token requests for the slot of a hint."""
         yield from self.meter.on_hint(hint.record.slot, now)
--- a/knapweedlead/ownership/__init__.py
+++ b/knapweedlead/ownership/__init__.py
@@ -9,6 +9,7 @@
 )
 from knapweedlead.ownership._messages import SlotHint
 from knapweedlead.ownership._owned import OwnedSlot
+from knapweedlead.ownership._owner_attempts import OwnerAttempts
 from knapweedlead.ownership._ranking import slot_of
 from knapweedlead.ownership._record import SlotRecord
 from knapweedlead.ownership._role import OwnershipRole
@@ -23,6 +24,7 @@
     "MAX_CLOCK_RATE_ERROR",
     "BackupNamed",
     "OwnedSlot",
+    "OwnerAttempts",
     "OwnershipRole",
     "OwnershipTimes",
     "SlotAcquired",
--- a/knapweedlead/ownership/_role.py
+++ b/knapweedlead/ownership/_role.py
@@ -117,6 +117,10 @@
             return None
         return owned
 
+    def owner_address(self, slot: int) -> str:
+        """Return the link address of the known owner; empty if there is none."""
+        return self.directory.record_by_slot[slot].link_address
+
     def peer_of(self, slot: int, attempt: int = 0) -> str:
         """Return the link address to query for a slot; empty if none is known.
 
--- a/knapweedlead/requests/_once_role.py
+++ b/knapweedlead/requests/_once_role.py
@@ -22,6 +22,7 @@
 )
 from knapweedlead.ownership import (
     BackupNamed,
+    OwnerAttempts,
     OwnershipRole,
     SlotAcquired,
     SlotHint,
@@ -82,7 +83,8 @@
     message: OnceClaim | OnceSettlement
     created_at: float
     sent_at: float
-    attempt: int = 0
+    resends: int = 0
+    attempts: OwnerAttempts = attrs.field(factory=OwnerAttempts)
 
 
 class OnceRole(Role):
@@ -172,7 +174,7 @@
 
     def _send(self, pending: _PendingRequest, now: float) -> Iterator[Effect]:
         slot = pending.message.slot
-        peer = self.ownership.peer_of(slot, pending.attempt)
+        peer = pending.attempts.peer(self.ownership, slot)
         pending.sent_at = now
         if peer:
             yield SendMessage(peer, pending.message)
@@ -234,7 +236,8 @@
     def _resend(self, now: float) -> Iterator[Effect]:
         for pending in self._pending_requests():
             if now >= pending.sent_at + RESEND_SECONDS:
-                pending.attempt += 1
+                pending.resends += 1
+                pending.attempts.failed += 1
                 yield from self.ownership.refresh(pending.message.slot, now)
                 yield from self._send(pending, now)
 
@@ -251,7 +254,7 @@
     def _expedite(self, ticket: int, now: float) -> Iterator[Effect]:
         for by_ticket in (self._claim_by_ticket, self._settlement_by_ticket):
             pending = by_ticket.get(ticket)
-            if pending is not None and pending.attempt < MAX_EXPEDITED_ATTEMPTS:
+            if pending is not None and pending.resends < MAX_EXPEDITED_ATTEMPTS:
                 pending.sent_at = now - RESEND_SECONDS
                 yield WakeAt(now + EXPEDITED_RESEND_SECONDS)
 
