Node: an exception in one handler leaves the other handlers of the event alone

Callers got no answer at all to a call whose handler raised, until they gave up; and one role that raised at each tick kept all roles from pinging, renewing and confirming.

Cause: the effects of all handlers of an event were collected in one expression, so an exception lost them all, though the state of the roles had changed. The shell logged it and replied nothing.

Change: each handler is run by itself. Its exception is an effect, which the shell counts and logs with the handler's name; the effects before it are kept. A call whose handler raises is answered 502, which promises nothing.

The cores of the simulation raise such an exception again unless a test injects it.

--- a/knapweedlead/daemon/_shell.py
+++ b/knapweedlead/daemon/_shell.py
@@ -21,6 +21,7 @@
     Count,
     Effect,
     Event,
+    HandlerFailed,
     LinkDown,
     LinkUp,
     LogEvent,
@@ -106,6 +107,7 @@
             Count: self.metrics.count,
             Observe: self.metrics.observe,
             LogEvent: self._log_event,
+            HandlerFailed: self._record_failed_handler,
         }
 
     async def start(self) -> None:
@@ -180,6 +182,13 @@
         kind = type(subject).__name__
         self.log.error("event_failed", step=step, kind=kind, exc_info=True)
 
+    def _record_failed_handler(self, effect: HandlerFailed) -> None:
+        self.metrics.count(Count("knapweedlead.events.failed"))
+        kind = type(effect.event).__name__
+        self.log.error(
+            "event_failed", step=effect.handler, kind=kind, exc_info=effect.error
+        )
+
     def _spawn(self, coroutine: Any) -> None:
         task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
--- a/knapweedlead/node/_effects.py
+++ b/knapweedlead/node/_effects.py
@@ -118,6 +118,24 @@
     event: Event
 
 
+@attrs.frozen
+class HandlerFailed(Effect):
+    """Count and log an exception that a handler raised.
+
+    Parameters
+    ----------
+    handler : str
+        Qualified name of the handler.
+    event : Event
+        Event that was handled.
+    error : Exception
+    """
+
+    handler: str
+    event: Event
+    error: Exception
+
+
 @attrs.frozen
 class Count(Effect):
     """Add to a counter.
--- a/knapweedlead/node/_node.py
+++ b/knapweedlead/node/_node.py
@@ -2,20 +2,34 @@
 
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
+from typing import Any
 
-from knapweedlead.node._effects import Count, Effect, Notify
-from knapweedlead.node._events import Event, MessageReceived, Woken
+from knapweedlead.node._effects import (
+    Count,
+    Effect,
+    HandlerFailed,
+    Notify,
+    ReplyToCaller,
+)
+from knapweedlead.node._events import CallReceived, Event, MessageReceived, Woken
 from knapweedlead.node._role import Role
 
 PAUSE_THRESHOLD = 1.0
 """Seconds between two events from which the process counts as paused."""
 
+FAULT_STATUS = 502
+"""Status of the reply to a call whose handler raised an exception. It promises nothing,
+since the call may have been sent on."""
+
 Handler = Callable[..., Iterable[Effect]]
 
 
 class Node:
     """Functional core of one daemon, composed of roles.
 
+    An exception in a handler ends this handler only: the effects that it returned
+    before, and the other handlers of the event, are not affected.
+
     Parameters
     ----------
     roles : sequence of Role
@@ -79,6 +93,20 @@
             if handlers is None:
                 return [Count("knapweedlead.messages.unhandled")]
             peer = event.peer
-            return [e for handler in handlers for e in handler(peer, message, now)]
+            return _run_all(handlers, event, peer, message, now)
         handlers = self._handlers_by_event.get(type(event), [])
-        return [effect for handler in handlers for effect in handler(event, now)]
+        return _run_all(handlers, event, event, now)
+
+
+def _run_all(handlers: Sequence[Handler], event: Event, *args: Any) -> list[Effect]:
+    """Run handlers with the same arguments and return their effects."""
+    effects: list[Effect] = []
+    for handler in handlers:
+        try:
+            for effect in handler(*args):
+                effects.append(effect)
+        except Exception as error:
+            effects.append(HandlerFailed(handler.__qualname__, event, error))
+            if type(event) is CallReceived:
+                effects.append(ReplyToCaller(event.exchange, FAULT_STATUS, {}, b""))
+    return effects
--- a/knapweedlead/telemetry/_counters.py
+++ b/knapweedlead/telemetry/_counters.py
@@ -172,7 +172,7 @@
         "knapweedlead.events.failed",
         MetricKind.COUNTER,
         "{event}",
-        "Events whose handler raised an exception.",
+        "Handlers that raised an exception.",
     ),
     MetricSpec(
         OVERFLOW,
--- a/standins/cores.py
+++ b/standins/cores.py
@@ -22,6 +22,7 @@
     CancelRun,
     Effect,
     Event,
+    HandlerFailed,
     LinkDown,
     LinkUp,
     MessageReceived,
@@ -88,6 +89,8 @@
         """Ordered pairs of core names between which messages are lost."""
         self.cut_from_store: set[str] = set()
         self.messages_sent = 0
+        self.has_injected_faults = False
+        """Whether exceptions in handlers are expected, and are only recorded."""
         self.delay_of: Callable[[Core, Core], float] = lambda a, b: self.delay
         self.alter: Callable[[Any], list[Any]] = lambda message: [message]
         """Maps a sent message to the messages that are delivered instead."""
@@ -286,6 +289,8 @@
                 self._runs.cancel(core, effect.run)
             case StoreCall():
                 self._call_store(core, effect)
+            case HandlerFailed() if not self.has_injected_faults:
+                raise effect.error
             case WakeAt():
                 real = (effect.time - core.clock_offset) / core.clock_rate
                 at = max(self.now, real)
