Roles make up for an event whose handling failed: slots, catalogue and lost runs

After one exception callers saw, without an end: no tokens or no decision on idempotency keys (the owner of a slot did not know that it owned it), 503 "configuration unknown" from a guard that had missed the catalogue, and one slot fewer of a backend server for each result that was lost.

Cause: each role learned these things from one event and from nothing else.

Change: with each tick the owners of tokens and of keys compare their slots with those that the daemon owns, and adopt a missing one as if its previous owner had expired, so that nothing is granted twice; requests are only served in the epoch of the ledgers. A guard compares its catalogue with the one in force, and ends a run as unknown whose result is missing 5 s after its deadline.

Tests: each of the 93 handlers raises, by name, three times at each daemon of a fleet under traffic, changes, losses and a shutdown, before and after its work. Checked: each call is answered, no request that is not idempotent runs twice, calls are served in the end, no slot stays occupied.

--- a/knapweedlead/accounts/_owner.py
+++ b/knapweedlead/accounts/_owner.py
@@ -98,6 +98,29 @@
             }
         self._slot_by_number[event.slot] = slot
 
+    def _adopt_missing(self) -> None:
+        """Start granting for owned slots of whose acquisition this role was not told.
+
+        That is the case if handling the event failed. The grants of the previous owner
+        are assumed to be valid as long as they can be.
+        """
+        for number, owned in self.ownership.owned_by_slot.items():
+            slot = self._slot_by_number.get(number)
+            epoch = owned.record.epoch
+            if slot is None or slot.epoch < epoch:
+                expired = Takeover.EXPIRED
+                self.acquire_slot(
+                    SlotAcquired(number, epoch, owned.may_act_from, expired)
+                )
+
+    def _active_slot(self, number: int, now: float) -> _Slot | None:
+        """Return a slot if this daemon acts for it in the epoch of its ledgers."""
+        slot = self._slot_by_number.get(number)
+        owned = self.ownership.active_slot(number, now)
+        if slot is None or owned is None or owned.record.epoch != slot.epoch:
+            return None
+        return slot
+
     def drop_slot(self, slot: int) -> None:
         """Discard the ledgers of a slot that this daemon no longer owns."""
         self._slot_by_number.pop(slot, None)
@@ -124,8 +147,8 @@
         self, peer: str, request: TokenRequest, now: float
     ) -> Iterator[Effect]:
         """Grant tokens; reply with a hint if this daemon may not act for the slot."""
-        slot = self._slot_by_number.get(request.slot)
-        if slot is None or self.ownership.active_slot(request.slot, now) is None:
+        slot = self._active_slot(request.slot, now)
+        if slot is None:
             yield self.ownership.hint_to(peer, request.slot)
             return
         account = self._account(request.account)
@@ -197,8 +220,9 @@
 
     def on_tick(self, now: float) -> Iterator[Effect]:
         """Serve waiting requests; remove idle shares at longer intervals."""
+        self._adopt_missing()
         for number, slot in self._slot_by_number.items():
-            if self.ownership.active_slot(number, now) is None:
+            if self._active_slot(number, now) is None:
                 slot.waiting_by_account.clear()
                 continue
             for name, waiting in slot.waiting_by_account.items():
--- a/knapweedlead/calls/_guard.py
+++ b/knapweedlead/calls/_guard.py
@@ -12,7 +12,11 @@
 from knapweedlead.calls._guard_scheduler import GuardScheduler
 from knapweedlead.calls._headers import PARENT
 from knapweedlead.calls._restart_detector import RestartDetector
-from knapweedlead.configuration import ConfigurationChanged, ConfigurationRole
+from knapweedlead.configuration import (
+    Catalogue,
+    ConfigurationChanged,
+    ConfigurationRole,
+)
 from knapweedlead.messages import CallCancel, CallRequest, LoadReport
 from knapweedlead.node import (
     CallReceived,
@@ -91,6 +95,7 @@
         self._scheduler = GuardScheduler(self.control, self._call_table)
         self._restart_detector = RestartDetector()
         self._checks: CatalogueChecks | None = None
+        self._applied: Catalogue | None = None
         self._logged_state = self.control.cold_start.state
         self._woken_at: float | None = None
         self._pause = 0.0
@@ -137,7 +142,13 @@
         self, event: ConfigurationChanged, now: float
     ) -> Iterator[Effect]:
         """Apply a catalogue, and refuse queued calls that are no longer allowed."""
-        catalogue = event.catalogue
+        yield from self._apply_catalogue(now)
+
+    def _apply_catalogue(self, now: float) -> Iterator[Effect]:
+        """Apply the current catalogue unless it is applied already."""
+        catalogue = self.configuration.catalogue
+        if catalogue is None or catalogue is self._applied:
+            return
         checks = self._checks = CatalogueChecks.of(catalogue, self.identity)
         service = catalogue.services.get(self.identity.service)
         if service is not None and self.backend_server.cold_start_s > 0.0:
@@ -150,6 +161,7 @@
         yield from self._scheduler.drop(
             lambda call: checks.is_key_withdrawn(call.request), reason, now
         )
+        self._applied = catalogue
 
     @handles_message(CallRequest)
     def on_request(
@@ -255,6 +267,8 @@
     def on_tick(self, event: Tick, now: float) -> Iterator[Effect]:
         """Expire deadlines, record stalled runs and advance the cold start."""
         yield from self._scheduler.expire(now)
+        yield from self._scheduler.release_lost(now)
+        yield from self._apply_catalogue(now)
         self._scheduler.record_stalled(now)
         self.control.cold_start.advance(now)
         yield from self._scheduler.start_next(now)
--- a/knapweedlead/calls/_guard_scheduler.py
+++ b/knapweedlead/calls/_guard_scheduler.py
@@ -12,6 +12,9 @@
 
 QUEUE_WAIT = "knapweedlead.guard.queue_wait"
 
+LOST_RUN_SECONDS = 5.0
+"""Seconds after its deadline from which the result of a run is no longer awaited."""
+
 RETRY_AFTER_MS = 1000
 """Retry delay in a refusal due to load, in milliseconds."""
 
@@ -136,6 +139,22 @@
         for call in late:
             yield from self.cancel(call, now)
 
+    def release_lost(self, now: float) -> Iterator[Effect]:
+        """End the runs whose result is missing long after their deadline.
+
+        A run is cancelled at its deadline, and its result reported at once; it is
+        missing if handling it failed.
+        """
+        lost = [
+            call
+            for call, _ in self.call_table.running()
+            if now >= call.deadline + LOST_RUN_SECONDS
+        ]
+        for call in lost:
+            self.end(call, True, False, now)
+            reason, load = RefusalReason.DEADLINE_EXCEEDED, self.load_report(now)
+            yield from refusal_of(call, Outcome.UNKNOWN, reason, 0, load)
+
     def record_stalled(self, now: float) -> None:
         """Report each stalled run once, before it ends.
 
--- a/knapweedlead/requests/_once_owner.py
+++ b/knapweedlead/requests/_once_owner.py
@@ -16,7 +16,7 @@
     StoreCall,
     StoreCallIds,
 )
-from knapweedlead.ownership import OwnershipRole, SlotAcquired
+from knapweedlead.ownership import OwnershipRole, SlotAcquired, Takeover
 from knapweedlead.requests._once import OnceDecision
 from knapweedlead.requests._once_backup import OnceBackup
 from knapweedlead.requests._once_copies import PendingCopies
@@ -101,6 +101,20 @@
             records.distrust_older_keys(now, wall_time, CLOCK_SKEW_MARGIN)
         self._slot_by_number[event.slot] = _Slot(event.epoch, records)
 
+    def adopt_missing(self, now: float, wall_time: float) -> None:
+        """Adopt owned slots of whose acquisition this role was not told.
+
+        That is the case if handling the event failed. None of the copied records is
+        trusted then.
+        """
+        for number, owned in self.ownership.owned_by_slot.items():
+            slot = self._slot_by_number.get(number)
+            epoch = owned.record.epoch
+            if slot is None or slot.epoch < epoch:
+                expired = Takeover.EXPIRED
+                event = SlotAcquired(number, epoch, owned.may_act_from, expired)
+                self.add_slot(event, now, wall_time)
+
     def remove_slot(self, slot: int) -> None:
         """Discard the records and copies of a slot."""
         self._slot_by_number.pop(slot, None)
--- a/knapweedlead/requests/_once_role.py
+++ b/knapweedlead/requests/_once_role.py
@@ -230,6 +230,7 @@
             if now >= pending.created_at + SETTLEMENT_TIMEOUT:
                 del self._settlement_by_ticket[ticket]
         yield from self._resend(now)
+        self.owner.adopt_missing(now, self._wall_time(now))
         yield from self.owner.on_tick(now)
         self.backup.evict(now)
 
