--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -291,6 +291,14 @@
     async def send_heartbeat(self):
         """Send one heartbeat; return the status of the answer."""
         self.sequence += 1
+        async with asyncio.timeout(1.0):
+            client = await Connection.open(self.machine, "control")
+            status, _, _ = await client.exchange(self.heartbeat())
+            client.close()
+        return status
+
+    def heartbeat(self):
+        """Return the request of a heartbeat."""
         document = {
             "address": f"{self.machine.ip}:{self.machine.port('app')}",
             "born": self.born,
@@ -306,16 +314,11 @@
                 "coldRemainingMs": 0,
             },
         }
-        data = message(
+        return message(
             f"POST /-/Instances.Heartbeat/{self.instance} HTTP/1.1",
             {"Host": "control", "Content-Type": "application/json"},
             json.dumps(document).encode(),
         )
-        async with asyncio.timeout(1.0):
-            client = await Connection.open(self.machine, "control")
-            status, _, _ = await client.exchange(data)
-            client.close()
-        return status
 
     async def _handle(self, request, writer):
         expected = request.headers.get("knapweedlead-expect-instance", self.instance)
