HTTP server: the body of a request that offers another protocol stays its own

Callers saw 200 for a POST whose head offers HTTP/2 (Connection: Upgrade, Upgrade: h2c), though the server had run it with an empty body; what stood in the body ran as a request of its own, or the caller got a 400 behind its answer.

Cause: httptools ends a request at its head if the head asks for another protocol, whether or not a body follows, and reports it as complete. The connection passed it on and gave the body to a new parser as the next request. CONNECT likewise. The rest was parsed in a recursive call, a level for each offer of one read.

Ruled out: the relay to the server's daemon and the encoding for the server; the request had lost its body before (test without a network, one connection).

Change: such a request is passed on when its body is complete. The new parser is first given a head with the same framing, so that lengths, chunks, trailers and limits are judged as for other requests. CONNECT is refused (400) and its connection closed, since what follows its head is not HTTP. Input is parsed in a loop.

--- a/knapweedlead/http/_caller.py
+++ b/knapweedlead/http/_caller.py
@@ -11,6 +11,7 @@
 from knapweedlead.http._headers import (
     HEADER_OBJECT_BYTES,
     HeaderCollector,
+    framing_head,
     response_bytes,
 )
 
@@ -85,10 +86,13 @@
         self._last_active_at = 0.0
         self._request_started_at = 0.0
         self._has_progressed = False
+        self._is_resuming = False
         self._reset()
 
     def _reset(self) -> None:
         self._url = b""
+        self._method = ""
+        self._is_head_only = False
         self._fields = HeaderCollector()
         self._headers: dict[str, str] = {}
         self._body = BodyBuffer()
@@ -128,9 +132,7 @@
             self._request_started_at = asyncio.get_running_loop().time()
         self._has_progressed = False
         try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade as upgrade:
-            self._ignore_upgrade(data[upgrade.args[0] :])
+            self._parse(data)
         except httptools.HttpParserError:
             self._reject(self._parse_failure or "malformed_request")
         else:
@@ -144,11 +146,30 @@
             memory += sum(size for _, _, size in self._pipeline)
         self.server.update_request_memory(self, memory)
 
-    def _ignore_upgrade(self, rest: bytes) -> None:
-        """Continue with HTTP/1.1; a server may ignore an ``Upgrade`` header."""
+    def _parse(self, data: bytes) -> None:
+        """Parse input; offers of another protocol (``Upgrade``) are ignored."""
+        rest = memoryview(data)
+        while rest and not self._rejection:
+            try:
+                self.parser.feed_data(rest)
+                return
+            except httptools.HttpParserUpgrade as upgrade:
+                rest = rest[upgrade.args[0] :]
+                self._resume_after_head()
+
+    def _resume_after_head(self) -> None:
+        """Continue with the body of a request that offers another protocol.
+
+        The parser ends such a request at its head, whether or not a body follows. A new
+        one reads the body, since a server may ignore the offer (RFC 9110, section 7.8).
+        """
+        self._is_head_only = False
         self.parser = httptools.HttpRequestParser(self)
-        if rest:
-            self.data_received(rest)
+        self._is_resuming = True
+        try:
+            self.parser.feed_data(framing_head(self._headers, self._keeps_alive))
+        finally:
+            self._is_resuming = False
 
     def _check_framing(self, received: int) -> None:
         """Limit the bytes that the parser consumes without producing output."""
@@ -164,16 +185,21 @@
 
     def on_message_begin(self) -> None:
         """Reset the state of the previous request."""
-        self._reset()
+        if not self._is_resuming:
+            self._reset()
 
     def on_url(self, url: bytes) -> None:
         """Add a part of the request target."""
+        if self._is_resuming:
+            return
         self._url += url
         self._memory += len(url)
         self._check_size(len(url), self.server.limits.max_header_bytes)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; trailers are ignored."""
+        if self._is_resuming:
+            return
         self._size += len(name) + len(value)
         if self._size > self._max_header_bytes:
             self._parse_failure = "request_too_large"
@@ -184,10 +210,17 @@
 
     def on_headers_complete(self) -> None:
         """Read the keep-alive mode and send ``100 Continue`` if requested."""
+        if self._is_resuming:
+            return
         self._size = 0
         self._framed_size = 0
         self._has_progressed = True
         self._is_in_head = False
+        self._is_head_only = self.parser.should_upgrade()
+        self._method = self.parser.get_method().decode("latin-1")
+        if self._method == "CONNECT":
+            # What follows such a head is not HTTP, even if it reads like a request.
+            raise ValueError("CONNECT is not supported")
         self._headers = self._fields.take()
         self._keeps_alive = self.parser.should_keep_alive()
         expects_continue = self._headers.get("expect", "").lower() == "100-continue"
@@ -203,11 +236,10 @@
 
     def on_message_complete(self) -> None:
         """Start the request, or queue it behind the exchange in flight."""
-        if self._rejection:
+        if self._rejection or self._is_head_only:
             return
-        method = self.parser.get_method().decode("latin-1")
         path = self._url.decode("latin-1")
-        request = (method, path, self._headers, self._body.take())
+        request = (self._method, path, self._headers, self._body.take())
         self._pipeline.append((request, self._keeps_alive, self._memory))
         self._memory = 0
         self._is_in_head = True
--- a/knapweedlead/http/_headers.py
+++ b/knapweedlead/http/_headers.py
@@ -8,6 +8,8 @@
 
 _HEADER_NAME_CACHE_SIZE = 1024
 
+_FRAMING = ("content-length", "transfer-encoding")
+"""Headers that delimit a body."""
 _PHRASE_BY_STATUS = {status.value: status.phrase for status in HTTPStatus}
 
 
@@ -47,6 +49,23 @@
         return headers
 
 
+def framing_head(headers: dict[str, str], keeps_alive: bool) -> bytes:
+    """Encode a request head that delimits its body as other headers do.
+
+    Parameters
+    ----------
+    headers : dict of str to str
+        Headers of the request by lower-case name.
+    keeps_alive : bool
+        Whether another request may follow on the connection.
+    """
+    lines = ["POST * HTTP/1.1"]
+    lines += [f"{name}: {headers[name]}" for name in _FRAMING if name in headers]
+    if not keeps_alive:
+        lines.append("connection: close")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
 def request_bytes(
     host: str, method: str, path: str, headers: dict[str, str], body: bytes
 ) -> bytes:
