An answer whose status HTTP does not define fails its run at once

Here, statuses from 600 to 999 were passed on to callers. Statuses below 100 were taken for interim responses: the answer was skipped, and the caller waited until its timeout.

Cause: the connection to a server compared the status with 200 only. Nothing checked the status of an answer that a peer sends, in either home, nor the one that is written to a caller.

Ruled out: statuses that are not three digits; the parser refuses them, and the run ended at once before.

Change: a status outside 100 to 599 fails the run as unknown, so that the caller gets 502 or a further attempt that its route allows. An answer that names another request is discarded whatever its status. Frames between daemons and answers between nodes of the own interface are checked (`answers.dropped`, reason `status`), and the HTTP server writes no status outside 200 to 599 but answers 502 and reports the fault.

--- a/knapweedlead/calls/_attempts.py
+++ b/knapweedlead/calls/_attempts.py
@@ -9,6 +9,7 @@
 from knapweedlead.calls._headers import IDEMPOTENCY_KEY
 from knapweedlead.calls._pending import PendingCall
 from knapweedlead.calls._pending_calls import PendingCalls
+from knapweedlead.checks import FIRST_FINAL_STATUS, LAST_STATUS
 from knapweedlead.configuration import ConfigurationRole
 from knapweedlead.messages import CallAnswer, CallCancel, CallRefusal, CallRequest
 from knapweedlead.node import Count, Effect, SendMessage, WakeAt
@@ -119,10 +120,11 @@
     def on_answer(
         self, call: PendingCall, answer: CallAnswer, now: float
     ) -> Iterator[Effect]:
-        """Forward an answer; fail the attempt if the digest does not match the body."""
+        """Forward an answer; fail the attempt if the answer is not intact."""
         self._reclaim_credits(call, answer.unused_credits)
-        if xxhash.xxh3_64_digest(answer.body) != answer.digest:
-            yield Count("knapweedlead.answers.dropped", (("reason", "digest"),))
+        defect = _defect_of(answer)
+        if defect:
+            yield Count("knapweedlead.answers.dropped", (("reason", defect),))
             reason = RefusalReason.BROKEN_ANSWER
             yield from self.fail(call, reason, Outcome.UNKNOWN, now)
             return
@@ -224,3 +226,12 @@
         return RefusalReason(refusal.reason), Outcome(refusal.outcome)
     except ValueError:
         return RefusalReason.BACKEND_SERVER_FAILED, Outcome.UNKNOWN
+
+
+def _defect_of(answer: CallAnswer) -> str:
+    """Return what is wrong with an answer, empty if nothing is."""
+    if xxhash.xxh3_64_digest(answer.body) != answer.digest:
+        return "digest"
+    if not FIRST_FINAL_STATUS <= answer.status <= LAST_STATUS:
+        return "status"
+    return ""
--- a/knapweedlead/calls/tests/test_answer_integrity.py
+++ b/knapweedlead/calls/tests/test_answer_integrity.py
@@ -46,6 +46,9 @@
     "of another attempt": lambda a: [attrs.evolve(a, attempt=a.attempt + 1)],
     "truncated": lambda a: [attrs.evolve(a, body=a.body[:-1])],
     "empty": lambda a: [attrs.evolve(a, body=b"")],
+    "with the status 0": lambda a: [attrs.evolve(a, status=0)],
+    "with an interim status": lambda a: [attrs.evolve(a, status=199)],
+    "with an undefined status": lambda a: [attrs.evolve(a, status=600)],
 }
 
 
--- a/knapweedlead/checks/__init__.py
+++ b/knapweedlead/checks/__init__.py
@@ -5,11 +5,15 @@
 """
 
 from knapweedlead.checks._values import (
+    FIRST_FINAL_STATUS,
+    FIRST_INTERIM_STATUS,
+    LAST_STATUS,
     MAX_COUNT,
     MAX_NAME_LENGTH,
     check_address,
     check_amount,
     check_count,
+    check_final_status,
     check_flag,
     check_header_name,
     check_list,
@@ -20,11 +24,15 @@
 )
 
 __all__ = [
+    "FIRST_FINAL_STATUS",
+    "FIRST_INTERIM_STATUS",
+    "LAST_STATUS",
     "MAX_COUNT",
     "MAX_NAME_LENGTH",
     "check_address",
     "check_amount",
     "check_count",
+    "check_final_status",
     "check_flag",
     "check_header_name",
     "check_list",
--- a/knapweedlead/checks/_values.py
+++ b/knapweedlead/checks/_values.py
@@ -11,6 +11,10 @@
 MAX_NAME_LENGTH = 200
 """Characters of a name; the platform's store limits its keys to as many bytes."""
 MAX_PORT = 65535
+FIRST_INTERIM_STATUS = 100
+FIRST_FINAL_STATUS = 200
+LAST_STATUS = 599
+"""HTTP statuses; RFC 9110, section 15, defines none below 100 or above 599."""
 
 _PORT = re.compile(r"[1-9][0-9]{0,4}", re.ASCII)
 _MAX_SHOWN = 80
@@ -127,3 +131,12 @@
     if address.is_unspecified or address.is_multicast:
         raise _error("IP:PORT with the address of a host", value)
     return text
+
+
+def check_final_status(value: Any) -> int:
+    """Return the HTTP status of a final response."""
+    is_integer = isinstance(value, int) and not isinstance(value, bool)
+    if not is_integer or not FIRST_FINAL_STATUS <= value <= LAST_STATUS:
+        expected = f"an HTTP status from {FIRST_FINAL_STATUS} to {LAST_STATUS}"
+        raise _error(expected, value)
+    return int(value)
--- a/knapweedlead/checks/tests/test_values.py
+++ b/knapweedlead/checks/tests/test_values.py
@@ -27,6 +27,7 @@
     checks.check_number: float,
     checks.check_amount: float,
     checks.check_count: int,
+    checks.check_final_status: int,
 }
 ODD_VALUES = [
     None,
--- a/knapweedlead/http/_run.py
+++ b/knapweedlead/http/_run.py
@@ -7,6 +7,7 @@
 import attrs
 import httptools
 
+from knapweedlead.checks import FIRST_FINAL_STATUS, FIRST_INTERIM_STATUS, LAST_STATUS
 from knapweedlead.http._body import BodyBuffer
 from knapweedlead.http._headers import HEADER_OBJECT_BYTES, HeaderCollector
 
@@ -21,7 +22,6 @@
 MAX_DISCARDED_ANSWERS = 8
 """Answers with another request ID that are discarded during one run."""
 
-_FIRST_FINAL_STATUS = 200
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}(?: [^\r\n]*)?$")
 """Status line at the end of a line that began as something else."""
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
@@ -50,7 +50,8 @@
 
     A faulty server may send the beginning of another answer before the answer to the
     run. The status line of the answer then ends up in the reason or in a header of the
-    other one, whose status and headers say nothing about the run. Such a run fails.
+    other one, whose status and headers say nothing about the run. Such a run fails, as
+    does one whose answer has a status that HTTP does not define (RFC 9110, section 15).
 
     Parameters
     ----------
@@ -92,11 +93,12 @@
         self._size = 0
         self._size_beside_body = 0
         self._status = 0
+        self._has_final_head = False
         self._keeps_alive = True
         self._is_complete = False
         self._is_close_delimited = False
         self._has_extra_bytes = False
-        self._is_joined = False
+        self._fault = ""
         self._reason = bytearray()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -156,8 +158,8 @@
                 self.abort("malformed answer")
                 return
             self._has_extra_bytes = True
-        if self._is_joined:
-            self.abort("answer joined with another one")
+        if self._fault:
+            self.abort(self._fault)
             return
         if self._is_complete:
             self._finish_run()
@@ -185,23 +187,31 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header, unless it is a trailer or follows the answer."""
-        if not self._status and not self._is_complete:
-            if b"HTTP/" in value:
-                self._is_joined |= _STATUS_LINE.search(value) is not None
+        if not self._has_final_head and not self._is_complete:
+            self._check_joined(value)
             self._fields.add(name, value)
             self._received_headers += 1
 
+    def _check_joined(self, text: bytes | bytearray) -> None:
+        """Fail the run if a reason or a header ends in the status line of an answer."""
+        if b"HTTP/" in text and _STATUS_LINE.search(text):
+            self._fault = "answer joined with another one"
+
     def on_headers_complete(self) -> None:
         """Read the status; skip interim responses, and complete the answer to HEAD."""
         status = self.parser.get_status_code()
         if self._is_complete:
             return
-        if b"HTTP/" in self._reason:
-            self._is_joined |= _STATUS_LINE.search(self._reason) is not None
+        self._check_joined(self._reason)
         self._headers = self._fields.take()
-        if status < _FIRST_FINAL_STATUS:
+        if FIRST_INTERIM_STATUS <= status < FIRST_FINAL_STATUS:
             return
         self._status = status
+        self._has_final_head = True
+        if not FIRST_FINAL_STATUS <= status <= LAST_STATUS and (
+            self._is_head or not self._answers_other_request()
+        ):
+            self._fault = "undefined status"
         self._is_close_delimited = (
             _is_close_delimited(status, self._headers) and not self._is_head
         )
@@ -221,13 +231,13 @@
 
         An answer with a different request ID is discarded instead.
         """
-        if self._status and self._answers_other_request():
+        if self._has_final_head and self._answers_other_request():
             self.client.discarded_answers += 1
             self._discarded += 1
             self._has_progressed = True
             self._release()
             self._reset()
-        elif self._status:
+        elif self._has_final_head:
             self._is_complete = True
 
     def _answers_other_request(self) -> bool:
--- a/knapweedlead/http/_server.py
+++ b/knapweedlead/http/_server.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from knapweedlead.checks import check_final_status
 from knapweedlead.http._budget import BufferBudget
 from knapweedlead.http._caller import CallerProtocol, HttpLimits, ParsedRequest
 from knapweedlead.http._listener import Listener
@@ -121,7 +122,16 @@
     def reply(
         self, exchange: int, status: int, headers: dict[str, str], body: bytes
     ) -> None:
-        """Answer an exchange; does nothing if its caller has disconnected."""
+        """Answer an exchange; does nothing if its caller has disconnected.
+
+        A status that is not that of a final response is reported as a fault, and the
+        exchange is answered with `FAULT_STATUS`.
+        """
+        try:
+            check_final_status(status)
+        except ValueError as error:
+            _report_fault("reply", error)
+            status, headers, body = FAULT_STATUS, {}, b""
         protocol = self._protocol_by_exchange.pop(exchange, None)
         if protocol is None:
             return
--- a/knapweedlead/http/tests/test_handler_errors.py
+++ b/knapweedlead/http/tests/test_handler_errors.py
@@ -84,3 +84,16 @@
     server._sweep_timer.cancel()
     assert len(checks) > 2
     assert faults
+
+
+@pytest.mark.parametrize("status", [-1, 0, 99, 100, 199, 600, 1000, True, None, "200"])
+async def test_undefined_or_interim_status_is_reported_and_not_written(status, faults):
+    # Guards against a server's status of 000 that reaches a caller.
+    server = RecordingServer()
+    protocol, transport = connect(server)
+    protocol.data_received(GET % b"a")
+    server.reply(server.requests[0].exchange, status, {"seal": "s"}, b"body")
+    assert [type(fault) for fault in faults] == [ValueError]
+    assert transport.written.startswith(b"HTTP/1.1 %d" % _server.FAULT_STATUS)
+    assert b"seal" not in transport.written
+    assert b"body" not in transport.written
--- a/knapweedlead/platform/tests/test_server_answers.py
+++ b/knapweedlead/platform/tests/test_server_answers.py
@@ -8,7 +8,9 @@
 from knapweedlead.http._run import _STATUS_LINE, RunProtocol
 from knapweedlead.http.tests.fakes import FakeTransport
 from knapweedlead.mesh.tests.harness import GuardHarness
+from knapweedlead.sidecar._frame_decoders import FrameError, decode_answer
 from knapweedlead.sidecar._runner import ServerRunner
+from knapweedlead.sidecar._wire import FrameKind
 from standins.fleet import free_address
 
 SEAL = b"knapweedlead-response-seal: s\r\n"
@@ -229,3 +231,17 @@
     # Guards against sound answers that are taken for joined ones.
     for value in (b"1.1 HTTP/1.1", b"HTTP/2.0, HTTP/1.1", b"HTTP/1.1 gateway"):
         assert _STATUS_LINE.search(value) is None
+
+
+@pytest.mark.parametrize("status", [0, 99, 100, 199, 600, 999, True, "200"])
+def test_answer_of_a_peer_with_an_undefined_status_is_not_decoded(status):
+    frame = [FrameKind.ANSWER.value, 1, status, {}, b"", 0, 0, 0.0, 0.0]
+    with pytest.raises(FrameError):
+        decode_answer(frame)
+
+
+@pytest.mark.parametrize("status", [b"000", b"099", b"600", b"0200"])
+async def test_undefined_status_of_a_server_promises_nothing(status):
+    odd = answer(200, b"first", extra=SEAL + b"knapweedlead-not-executed: 1\r\n")
+    async with ScriptedServer(odd.replace(b"200", status, 1)) as server:
+        assert await server.run("first") == ("may have run",)
--- a/knapweedlead/sidecar/_frame_decoders.py
+++ b/knapweedlead/sidecar/_frame_decoders.py
@@ -15,6 +15,7 @@
 from knapweedlead.checks import (
     check_amount,
     check_count,
+    check_final_status,
     check_flag,
     check_list,
     check_name,
@@ -145,7 +146,7 @@
     status, headers, body, _, _, waited, ran = frame[2:9]
     _check_types([status, headers, body], _ANSWER_TYPES)
     times = AttemptTimes(check_number(waited), check_number(ran))
-    return ServerAnswer(status, headers, body), times
+    return ServerAnswer(check_final_status(status), headers, body), times
 
 
 def _check_types(fields: list[Any], expected: list[type]) -> None:
