An interim response that announces a body fails its run

A server's interim response, such as 199, with a Content-Length or in chunks was skipped, but its body was kept: the caller got it in front of the body of the answer. HTTP gives no interim response a body (RFC 9112, section 6.3).

Cause: the parser reads a body for some interim statuses, and `on_body` did not look at the status. Whether the server meant a body is unknown then, and with it where the answer begins.

Before: 2 of the 8 new tests fail, each at the splits that it tries. After: they pass.

--- a/knapweedlead/http/_run.py
+++ b/knapweedlead/http/_run.py
@@ -205,6 +205,8 @@
         self._check_joined(self._reason)
         self._headers = self._fields.take()
         if FIRST_INTERIM_STATUS <= status < FIRST_FINAL_STATUS:
+            if _announces_body(self._headers):
+                self._fault = "interim response with a body"
             return
         self._status = status
         self._has_final_head = True
@@ -310,6 +312,10 @@
     return not has_length and status not in _STATUSES_WITHOUT_BODY
 
 
+def _announces_body(headers: dict[str, str]) -> bool:
+    return "transfer-encoding" in headers or headers.get("content-length", "0") != "0"
+
+
 def _keep_alive_timeout(headers: dict[str, str]) -> float:
     """Return the ``Keep-Alive`` timeout in seconds; 0 if the headers state none."""
     for part in headers.get("keep-alive", "").split(","):
--- a/knapweedlead/http/tests/test_undefined_status.py
+++ b/knapweedlead/http/tests/test_undefined_status.py
@@ -103,3 +103,12 @@
     (answer,) = run.outcomes
     assert (answer.status, answer.body) == (200, b"yes")
     assert run.protocol.is_closed
+
+
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+@pytest.mark.parametrize("status", [b"100", b"102", b"103", b"199"])
+async def test_body_of_an_interim_response_is_not_part_of_the_answer(status, framing):
+    # Guards against an answer that begins with the body of an interim response.
+    data = message(status, b"", framing) + OWN
+    for split in range(1, len(data)):
+        assert outcomes_of(data[:split], data[split:]) == [True]
