HTTP: a body in a transfer coding other than chunks is not passed on

A request with "Transfer-Encoding: gzip, chunked" reached its server with the coded bytes as its body and without the name of the coding; an answer reached its caller likewise.

Cause: the parser removes the chunks only, and the headers that delimit a body are written anew.

Change: such a request is refused as malformed (400) and its connection closed; such an answer fails its run as unknown at once. RFC 9112, section 6.1, lets a server refuse codings that it does not understand.

--- a/knapweedlead/http/_caller.py
+++ b/knapweedlead/http/_caller.py
@@ -12,6 +12,7 @@
     HEADER_OBJECT_BYTES,
     HeaderCollector,
     framing_head,
+    has_plain_transfer,
     response_bytes,
 )
 
@@ -222,6 +223,8 @@
             # What follows such a head is not HTTP, even if it reads like a request.
             raise ValueError("CONNECT is not supported")
         self._headers = self._fields.take()
+        if not has_plain_transfer(self._headers):
+            raise ValueError("transfer coding is not supported")
         self._keeps_alive = self.parser.should_keep_alive()
         expects_continue = self._headers.get("expect", "").lower() == "100-continue"
         if expects_continue and not self.exchange:
--- a/knapweedlead/http/_headers.py
+++ b/knapweedlead/http/_headers.py
@@ -8,6 +8,7 @@
 
 _HEADER_NAME_CACHE_SIZE = 1024
 
+_CHUNKED = "chunked"
 _FRAMING = ("content-length", "transfer-encoding")
 """Headers that delimit a body."""
 _PHRASE_BY_STATUS = {status.value: status.phrase for status in HTTPStatus}
@@ -49,6 +50,15 @@
         return headers
 
 
+def has_plain_transfer(headers: dict[str, str]) -> bool:
+    """Return whether a body has no transfer coding but chunks.
+
+    Other codings would have to be removed before the body is passed on.
+    """
+    coding = headers.get("transfer-encoding", _CHUNKED)
+    return coding.strip().lower() == _CHUNKED
+
+
 def framing_head(headers: dict[str, str], keeps_alive: bool) -> bytes:
     """Encode a request head that delimits its body as other headers do.
 
--- a/knapweedlead/http/_run.py
+++ b/knapweedlead/http/_run.py
@@ -9,7 +9,11 @@
 
 from knapweedlead.checks import FIRST_FINAL_STATUS, FIRST_INTERIM_STATUS, LAST_STATUS
 from knapweedlead.http._body import BodyBuffer
-from knapweedlead.http._headers import HEADER_OBJECT_BYTES, HeaderCollector
+from knapweedlead.http._headers import (
+    HEADER_OBJECT_BYTES,
+    HeaderCollector,
+    has_plain_transfer,
+)
 
 if TYPE_CHECKING:
     from knapweedlead.http._client import BackendServerClient
@@ -210,10 +214,8 @@
             return
         self._status = status
         self._has_final_head = True
-        if not FIRST_FINAL_STATUS <= status <= LAST_STATUS and (
-            self._is_head or not self._answers_other_request()
-        ):
-            self._fault = "undefined status"
+        if self._is_head or not self._answers_other_request():
+            self._check_head()
         self._is_close_delimited = (
             _is_close_delimited(status, self._headers) and not self._is_head
         )
@@ -222,6 +224,13 @@
             self._keeps_alive = False
             self._is_complete = True
 
+    def _check_head(self) -> None:
+        """Fail the run if its answer cannot be passed on as it is."""
+        if not FIRST_FINAL_STATUS <= self._status <= LAST_STATUS:
+            self._fault = "undefined status"
+        elif not self._is_head and not has_plain_transfer(self._headers):
+            self._fault = "unsupported transfer coding"
+
     def on_body(self, body: bytes) -> None:
         """Add a part of the body."""
         self._has_progressed = True
--- a/knapweedlead/http/tests/test_cut_heads.py
+++ b/knapweedlead/http/tests/test_cut_heads.py
@@ -71,3 +71,18 @@
         run.protocol.eof_received()
         run.protocol.connection_lost(None)
         assert run.outcomes == [whole, True], head[:end]
+
+
+@pytest.mark.parametrize("coding", [b"gzip, chunked", b"x,chunked", b"gzip"])
+async def test_answer_in_a_transfer_coding_that_is_not_removed_fails_its_run(coding):
+    # Guards against a coded body that is passed on without the name of its coding.
+    body = b"2\r\nhi\r\n0\r\n\r\n" if coding.endswith(b"chunked") else b"hi"
+    data = HEADS["chunks"].replace(b"chunked", coding) + body
+    for split in range(1, len(data)):
+        run = Run(request_id="mine")
+        run.protocol.data_received(data[:split])
+        if not run.protocol.is_closed:
+            run.protocol.data_received(data[split:])
+        assert run.protocol.is_closed
+        run.protocol.connection_lost(None)
+        assert run.outcomes == [True]
--- a/knapweedlead/http/tests/test_offered_protocols.py
+++ b/knapweedlead/http/tests/test_offered_protocols.py
@@ -174,3 +174,23 @@
     assert server.requests == []
     assert server.refusal_reasons == ["request_too_large"]
     assert transport.is_closed
+
+
+@pytest.mark.parametrize(
+    "coding", [b"gzip, chunked", b"deflate,chunked", b"x, chunked"]
+)
+def test_body_in_a_transfer_coding_that_is_not_removed_runs_at_no_server(coding):
+    # Guards against a coded body that is passed on without the name of its coding.
+    data = in_chunks(b"POST", b"", INNER).replace(b"chunked", coding, 1) + NEXT
+    for split in range(1, len(data)):
+        server, transport = receive(data[:split], data[split:])
+        assert server.requests == []
+        assert server.refusal_reasons == ["malformed_request"]
+        assert transport.is_closed
+
+
+@pytest.mark.parametrize("coding", [b"chunked", b"Chunked", b"CHUNKED "])
+def test_body_in_chunks_is_read_however_the_coding_is_written(coding):
+    data = in_chunks(b"POST", b"", INNER).replace(b"chunked", coding, 1) + NEXT
+    server, _ = receive(data)
+    assert runs(server) == [("POST", "/own", INNER), ("GET", "/next", b"")]
