Own interface: answers of the store and of daemons to operators are limited in size

Report of other operators (LOST): a server sent bytes without end, and the process that had called it kept them all.

Cause: `Response.read()` collects a body in a background task as fast as it arrives, until the call's timeout; the line of a watch was collected likewise, and copied anew with each part.

Change: both use the project's own HTTP client through `http.fetch`, one connection a call, whose heads, framing and bodies are limited: 16 MiB for the store, 64 MiB for operators; a line of a watch has 4 MiB at most. A call whose request was not written is still reported as such, and reads are still repeated after a lost connection.

--- a/knapweedlead/http/_client.py
+++ b/knapweedlead/http/_client.py
@@ -8,7 +8,7 @@
 from knapweedlead.http._addresses import split_address
 from knapweedlead.http._budget import BufferBudget
 from knapweedlead.http._headers import request_bytes
-from knapweedlead.http._run import HttpAnswer, RunProtocol
+from knapweedlead.http._run import MAX_ANSWER_BYTES, HttpAnswer, RunProtocol
 
 MAX_IDLE_SECONDS = 4.0
 """Idle time up to which a connection is reused; servers close idle ones later."""
@@ -46,6 +46,8 @@
         Whether the end of the connection may delimit the body of an answer.
     on_disconnected : callable or None
         Called when the last open connection is lost.
+    max_answer_bytes : int
+        Size limit of an answer with its headers.
 
     Attributes
     ----------
@@ -67,13 +69,17 @@
         request_id_header: str = "",
         accepts_close_delimited: bool = False,
         on_disconnected: Callable[[], None] | None = None,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
     ) -> None:
+        self.max_answer_bytes = max_answer_bytes
         self.on_disconnected = on_disconnected
         self.request_id_header = request_id_header
         self.accepts_close_delimited = accepts_close_delimited
         self.discarded_answers = 0
         self.connections_opened = 0
-        self.budget: BufferBudget[RunProtocol] = BufferBudget(MAX_BUFFERED_BYTES)
+        self.budget: BufferBudget[RunProtocol] = BufferBudget(
+            max(MAX_BUFFERED_BYTES, max_answer_bytes)
+        )
         self.address = address
         self.max_connections = max_connections
         self.on_answer = on_answer
--- a/knapweedlead/http/_run.py
+++ b/knapweedlead/http/_run.py
@@ -19,13 +19,16 @@
     from knapweedlead.http._client import BackendServerClient
 
 MAX_ANSWER_BYTES = 6 * 1024 * 1024
-"""Size limit of an answer with its headers; must fit into a message on a link."""
+"""Size limit of an answer with its headers, unless the client has its own; the answer
+must fit into a message on a link."""
 MAX_HEAD_BYTES = 64 * 1024
 """Size limit of all bytes up to the end of the headers, with interim responses, and of
 the bytes after that which add nothing to the body, such as trailers."""
 MAX_DISCARDED_ANSWERS = 8
 """Answers with another request ID that are discarded during one run."""
 
+CONNECTION_LOST = "connection lost"
+"""Cause of a failure if the server closed the connection before its answer."""
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}(?: [^\r\n]*)?$")
 """Status line at the end of a line that began as something else."""
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
@@ -86,7 +89,7 @@
         self._discarded = 0
         self._has_progressed = False
         self._received_headers = 0
-        self._detail = "connection lost"
+        self._detail = CONNECTION_LOST
         self._timer: asyncio.TimerHandle | None = None
         self._reset()
 
@@ -150,7 +153,7 @@
             self.abort("bytes without a request")
             return
         self._size += len(data)
-        if self._size > MAX_ANSWER_BYTES:
+        if self._size > self.client.max_answer_bytes:
             self.abort("answer too large")
             return
         self._has_progressed = False
--- a/knapweedlead/operators/_client.py
+++ b/knapweedlead/operators/_client.py
@@ -7,15 +7,18 @@
 from typing import Any
 
 import attrs
-from blacksheep import Content, Response
 from blacksheep.client import ClientSession
 from result import Err, Ok, Result
 
 from knapweedlead.errors import StepError
+from knapweedlead.http import fetch
 
 REQUEST_TIMEOUT_SECONDS = 20.0
 """Seconds after which an attempt at one daemon counts as failed."""
 ATTEMPTS_PER_ADDRESS = 2
+MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+MAX_LINE_BYTES = 4 * 1024 * 1024
+"""Size limit of a change in a watch."""
 
 _PRECONDITION_FAILED = 412
 _FIRST_ERROR = 400
@@ -88,11 +91,11 @@
 
     def _headers(self, expected_version: str) -> dict[str, str]:
         headers = {
-            "Authorization": f"Bearer {self.credential}",
-            "Change-Id": secrets.token_hex(8),
+            "authorization": f"Bearer {self.credential}",
+            "change-id": secrets.token_hex(8),
         }
         if expected_version:
-            headers["If-Match"] = f'"{expected_version}"'
+            headers["if-match"] = f'"{expected_version}"'
         return headers
 
     async def _send(
@@ -103,21 +106,24 @@
         document: Any,
         headers: dict[str, str],
     ) -> Result[ApiResponse, ApiError]:
-        content = None
-        if document is not None:
-            content = Content(b"application/json", json.dumps(document).encode())
-        try:
-            async with ClientSession(base_url=f"http://{address}") as session:
-                request = {
-                    "GET": lambda: session.get(path, headers=headers),
-                    "PUT": lambda: session.put(path, content, headers=headers),
-                    "DELETE": lambda: session.delete(path, headers=headers),
-                }[method]
-                async with asyncio.timeout(REQUEST_TIMEOUT_SECONDS):
-                    return await _read_response(address, method, await request())
-        except Exception as error:  # many kinds of connection error
-            detail = f"no response: {type(error).__name__}"
+        body = b"" if document is None else json.dumps(document).encode()
+        if body:
+            headers = headers | {"content-type": "application/json"}
+        result = await fetch(
+            address,
+            method,
+            path,
+            headers,
+            body,
+            REQUEST_TIMEOUT_SECONDS,
+            MAX_RESPONSE_BYTES,
+        )
+        if isinstance(result, Err):
+            detail = f"no response: {result.err_value.detail}"
             return Err(ApiError("operators.request", address, detail))
+        answer = result.ok_value
+        tag = answer.headers.get("etag", "")
+        return _read_response(address, method, answer.status, answer.body, tag)
 
     async def watch(
         self, kind: str, revision: str
@@ -137,7 +143,8 @@
                         response = await session.get(path, headers=self._headers(""))
                     has_response = True
                     if response.status >= _FIRST_ERROR:
-                        yield await _read_response(address, "GET", response)
+                        body = b"".join([part async for part in response.stream()])
+                        yield _read_response(address, "GET", response.status, body)
                         return
                     async for line in _read_lines(response.stream()):
                         yield Ok(json.loads(line))
@@ -152,27 +159,36 @@
 
 
 async def _read_lines(parts: AsyncIterable[bytes]) -> AsyncIterator[bytes]:
-    """Yield the complete lines of a streamed body."""
-    rest = b""
+    """Yield the complete lines of a streamed body.
+
+    Raises
+    ------
+    ValueError
+        A line is longer than `MAX_LINE_BYTES`.
+    """
+    rest = bytearray()
     async for part in parts:
-        *lines, rest = (rest + part).split(b"\n")
+        *lines, end = part.split(b"\n")
         for line in lines:
-            yield line
+            yield bytes(rest + line)
+            rest.clear()
+        rest += end
+        if len(rest) > MAX_LINE_BYTES:
+            raise ValueError(f"expected lines of at most {MAX_LINE_BYTES} bytes")
 
 
-async def _read_response(
-    address: str, method: str, response: Response
+def _read_response(
+    address: str, method: str, status: int, body: bytes, tag: str = ""
 ) -> Result[ApiResponse, ApiError]:
-    document = json.loads(await response.read() or b"null")
-    if response.status < _FIRST_ERROR:
-        tag = response.get_first_header(b"ETag") or b""
-        return Ok(ApiResponse(document, tag.decode().strip('"')))
+    step = f"operators.{method.lower()}"
+    try:
+        document = json.loads(body or b"null")
+    except (ValueError, RecursionError) as error:
+        detail = f"no response: {type(error).__name__}"
+        return Err(ApiError("operators.request", address, detail))
+    if status < _FIRST_ERROR:
+        return Ok(ApiResponse(document, tag.strip('"')))
     problem = document if isinstance(document, dict) else {}
-    error = ApiError(
-        f"operators.{method.lower()}",
-        address,
-        str(problem.get("detail", "refused")),
-        response.status,
-        str(problem.get("reason", "")),
-    )
-    return Err(error)
+    detail = str(problem.get("detail", "refused"))
+    reason = str(problem.get("reason", ""))
+    return Err(ApiError(step, address, detail, status, reason))
--- a/knapweedlead/operators/tests/test_client.py
+++ b/knapweedlead/operators/tests/test_client.py
@@ -1,12 +1,13 @@
 """The operators' client with several daemons."""
 
+import asyncio
 import json
 
 import pytest
 from result import Err, Ok
 
 from knapweedlead.http import CallerServer
-from knapweedlead.operators._client import OperatorClient
+from knapweedlead.operators._client import MAX_RESPONSE_BYTES, OperatorClient
 from standins.fleet import free_address
 
 RECORDS = [{"revision": 1}, {"revision": 2}]
@@ -64,3 +65,42 @@
     (result,) = await watch(*addresses)
     assert isinstance(result, Err)
     assert result.err_value.step == "operators.watch"
+
+
+ENDLESS = {
+    "length": b"content-length: 900000000000\r\n\r\n",
+    "no length": b"\r\n",
+}
+
+
+@pytest.mark.parametrize("is_watch", [False, True])
+@pytest.mark.parametrize("name", sorted(ENDLESS))
+async def test_response_without_end_is_cut_at_its_limit(name, is_watch):
+    # Guards against a response that is kept as long as a daemon sends.
+    sent = 0
+
+    async def serve(reader, writer):
+        nonlocal sent
+        sent = 0
+        head = b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n"
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(head + ENDLESS[name])
+            while sent < 8 * MAX_RESPONSE_BYTES:
+                writer.write(b"x" * 65536)
+                sent += 65536
+                await writer.drain()
+        except ConnectionError:
+            pass
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    if is_watch:
+        (result,) = await watch(f"{host}:{port}")
+    else:
+        client = OperatorClient([f"{host}:{port}"], "credential")
+        result = await client.request("GET", "/v1/services")
+    assert isinstance(result, Err)
+    assert sent < 2 * MAX_RESPONSE_BYTES
+    server.close()
--- a/knapweedlead/store/_http_store.py
+++ b/knapweedlead/store/_http_store.py
@@ -3,20 +3,16 @@
 Uses the public API of Consul's key-value store, ``/v1/kv`` and ``/v1/session``.
 """
 
-import asyncio
 import base64
 import json
 from collections.abc import Awaitable, Callable
 from typing import Any
 from urllib.parse import quote
 
-from blacksheep import Content, Response
-from blacksheep.client import ClientSession
-from blacksheep.client.connection import ConnectionClosedError
-from blacksheep.client.exceptions import ConnectionTimeout, RequestTimeout
 from result import Err, Ok, Result
 
 from knapweedlead.errors import StoreError, StoreFault
+from knapweedlead.http import CONNECTION_LOST, FetchFailure, HttpAnswer, fetch
 from knapweedlead.store._operations import (
     CompareAndSwap,
     CreateLease,
@@ -40,6 +36,9 @@
 _WATCH_GRACE_SECONDS = 2.0
 """Seconds added to the wait of a watch to get its timeout."""
 
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+"""Size limit of the store's answers; a listing contains all keys of a prefix."""
+
 _READS = (Get, List)
 """Operations that are retried after a lost connection."""
 _READ_ATTEMPTS = 4
@@ -47,6 +46,14 @@
 _CallResult = Result[StoreResult, StoreError]
 
 
+class _CallError(Exception):
+    """A call without a complete answer."""
+
+    def __init__(self, failure: FetchFailure) -> None:
+        super().__init__(failure.detail)
+        self.failure = failure
+
+
 class HttpStore:
     """Calls the store over HTTP, with a new connection for each call.
 
@@ -98,18 +105,13 @@
         step = f"store.{type(operation).__name__}"
         try:
             return await method(operation)
-        except (ConnectionRefusedError, ConnectionTimeout) as error:
-            return self._wrap_exception(step, error, StoreFault.UNAVAILABLE)
-        except (OSError, TimeoutError, RequestTimeout, ValueError) as error:
-            return self._wrap_exception(step, error, StoreFault.UNKNOWN_OUTCOME)
-        except Exception as error:  # connection errors of the client have many classes
-            return self._wrap_exception(step, error, StoreFault.UNKNOWN_OUTCOME)
-
-    def _wrap_exception(
-        self, step: str, error: Exception, fault: StoreFault
-    ) -> _CallResult:
-        detail = f"{type(error).__name__}: {error}"
-        return Err(StoreError(step, self.address, detail, fault))
+        except _CallError as error:
+            is_unsent = not error.failure.was_sent
+            fault = StoreFault.UNAVAILABLE if is_unsent else StoreFault.UNKNOWN_OUTCOME
+            return self._store_error(step, error.failure.detail, fault)
+        except Exception as error:  # an answer may be malformed in many ways
+            detail = f"{type(error).__name__}: {error}"
+            return self._store_error(step, detail, StoreFault.UNKNOWN_OUTCOME)
 
     async def _send(
         self,
@@ -117,26 +119,20 @@
         path: str,
         body: bytes | None,
         timeout: float,
-        content_type: bytes = b"application/octet-stream",
-    ) -> Response:
-        content = None if body is None else Content(content_type, body)
-        session = ClientSession(
-            f"http://{self.address}", http2=False, max_connection_retries=0
+        content_type: str = "application/octet-stream",
+    ) -> HttpAnswer:
+        headers = {} if body is None else {"content-type": content_type}
+        result = await fetch(
+            self.address, method, path, headers, body or b"", timeout, MAX_ANSWER_BYTES
         )
-        async with asyncio.timeout(timeout), session:
-            send = {
-                "GET": session.get,
-                "PUT": lambda url: session.put(url, content),
-                "DELETE": session.delete,
-            }[method]
-            response = await send(path)
-            await response.read()
-            return response
+        if isinstance(result, Err):
+            raise _CallError(result.err_value)
+        return result.ok_value
 
     async def _get(self, operation: Get) -> _CallResult:
         url = f"/v1/kv/{quote(operation.key)}"
         response = await self._send("GET", url, None, self.timeout)
-        return await self._read_entry(operation.key, response)
+        return self._read_entry(operation.key, response)
 
     async def _watch(self, operation: Watch) -> _CallResult:
         url = (
@@ -147,12 +143,12 @@
         response = await self._send("GET", url, None, timeout)
         if response.status == _GONE:
             return self._store_error("store.watch", operation.key, StoreFault.COMPACTED)
-        return await self._read_entry(operation.key, response)
+        return self._read_entry(operation.key, response)
 
-    async def _read_entry(self, key: str, response: Response) -> _CallResult:
+    def _read_entry(self, key: str, response: HttpAnswer) -> _CallResult:
         if response.status == _NOT_FOUND:
             return Ok(Entry(key, b"", 0))
-        documents = await self._json(response)
+        documents = self._json(response)
         return Ok(_parse_entry(documents[0]))
 
     async def _list(self, operation: List) -> _CallResult:
@@ -160,7 +156,7 @@
         response = await self._send("GET", url, None, self.timeout)
         if response.status == _NOT_FOUND:
             return Ok(Listing(()))
-        documents = await self._json(response)
+        documents = self._json(response)
         return Ok(Listing(tuple(_parse_entry(document) for document in documents)))
 
     async def _compare_and_swap(self, operation: CompareAndSwap) -> _CallResult:
@@ -168,12 +164,12 @@
         if operation.lease:
             url += f"&acquire={operation.lease}"
         response = await self._send("PUT", url, operation.value, self.timeout)
-        return self._write_result(operation.key, await self._json(response))
+        return self._write_result(operation.key, self._json(response))
 
     async def _delete(self, operation: Delete) -> _CallResult:
         url = f"/v1/kv/{quote(operation.key)}?cas={operation.expected}"
         response = await self._send("DELETE", url, None, self.timeout)
-        return self._write_result(operation.key, await self._json(response))
+        return self._write_result(operation.key, self._json(response))
 
     def _write_result(self, key: str, document: Any) -> _CallResult:
         if document is True:
@@ -187,9 +183,9 @@
             "/v1/session/create",
             body.encode(),
             self.timeout,
-            b"application/json",
+            "application/json",
         )
-        document = await self._json(response)
+        document = self._json(response)
         return Ok(LeaseGranted(document["ID"], operation.seconds))
 
     async def _renew_lease(self, operation: RenewLease) -> _CallResult:
@@ -197,18 +193,18 @@
         response = await self._send("PUT", url, b"", self.timeout)
         if response.status == _NOT_FOUND:
             return self._conflict("store.renew", f"lease {operation.lease} expired")
-        document = await self._json(response)
+        document = self._json(response)
         return Ok(LeaseGranted(operation.lease, float(document[0]["TTL"].rstrip("s"))))
 
     async def _revoke_lease(self, operation: RevokeLease) -> _CallResult:
         url = f"/v1/session/destroy/{operation.lease}"
-        await self._json(await self._send("PUT", url, b"", self.timeout))
+        self._json(await self._send("PUT", url, b"", self.timeout))
         return Ok(Written(0))
 
-    async def _json(self, response: Response) -> Any:
+    def _json(self, response: HttpAnswer) -> Any:
         if response.status != _OK:
             raise ValueError(f"status {response.status}")
-        return await response.json()
+        return json.loads(response.body)
 
     def _conflict(self, step: str, detail: str) -> _CallResult:
         return self._store_error(step, detail, StoreFault.CONFLICT)
@@ -223,4 +219,4 @@
 
 
 def _is_connection_lost(error: StoreError) -> bool:
-    return error.detail.startswith(ConnectionClosedError.__name__)
+    return error.detail == CONNECTION_LOST
