HTTP client: the work that a server's bytes cause in one step of the event loop is bounded

A server that answers with a body of one-byte chunks without end made the daemon beside it hang: requests to other servers had no answer after 6 s.

Cause: the limits of an answer count bytes. One read of 256 KiB holds 43,000 one-byte chunks, each with a call from the parser, all in one step, and many connections did so at once.

Ruled out: copying (a body grows in place; 6 MiB in chunks of 64 KiB take 6 ms) and the limits of heads (64 KiB each).

Change: input is parsed in parts of 8 KiB. After 512 headers or parts of a body the connection pauses reading and goes on in the next step, so that the other connections, links and timers come first. Bytes count against the limits when they arrive. Input behind a complete answer is never parsed for a later run.

--- a/knapweedlead/http/_run.py
+++ b/knapweedlead/http/_run.py
@@ -29,6 +29,12 @@
 
 CONNECTION_LOST = "connection lost"
 """Cause of a failure if the server closed the connection before its answer."""
+MAX_STEP_EVENTS = 512
+"""Headers and parts of bodies after which a connection lets the other work of the event
+loop go first."""
+_PART_BYTES = 8192
+"""Bytes that are parsed at once."""
+_NO_BYTES = memoryview(b"")
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}(?: [^\r\n]*)?$")
 """Status line at the end of a line that began as something else."""
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
@@ -87,6 +93,9 @@
         self._has_served = False
         self._is_head = False
         self._discarded = 0
+        self._unparsed = _NO_BYTES
+        self._is_paused = False
+        self._events = 0
         self._has_progressed = False
         self._received_headers = 0
         self._detail = CONNECTION_LOST
@@ -143,12 +152,19 @@
     def abort(self, detail: str) -> None:
         """Close the connection, which fails its run."""
         self.is_closed = True
+        self._unparsed = _NO_BYTES
         self._detail = detail
         self._release()
         self.transport.abort()
 
     def data_received(self, data: bytes) -> None:
-        """Parse input, and finish the run when its answer is complete."""
+        """Parse input, and finish the run when its answer is complete.
+
+        Reading is paused while the rest of the input waits for a later step of the
+        event loop.
+        """
+        while self._unparsed:
+            self._parse_step()
         if not self.run:
             self.abort("bytes without a request")
             return
@@ -156,6 +172,31 @@
         if self._size > self.client.max_answer_bytes:
             self.abort("answer too large")
             return
+        self.client.budget.hold(self, len(data))
+        self._unparsed = memoryview(data)
+        self._continue_parsing()
+
+    def _continue_parsing(self) -> None:
+        """Parse input for one step of the event loop."""
+        self._parse_step()
+        if self._unparsed:
+            self._is_paused = True
+            self.transport.pause_reading()
+            asyncio.get_running_loop().call_soon(self._continue_parsing)
+        elif self._is_paused and not self.is_closed:
+            self._is_paused = False
+            self.transport.resume_reading()
+
+    def _parse_step(self) -> None:
+        """Parse input until it ends or has caused `MAX_STEP_EVENTS`."""
+        self._events = 0
+        while self._unparsed and self._events < MAX_STEP_EVENTS:
+            part = self._unparsed[:_PART_BYTES]
+            self._unparsed = self._unparsed[_PART_BYTES:]
+            self._parse(part)
+
+    def _parse(self, data: memoryview) -> None:
+        """Parse a part of the input; finish or fail the run if it decides that."""
         self._has_progressed = False
         self._received_headers = 0
         try:
@@ -167,14 +208,19 @@
             self._has_extra_bytes = True
         if self._fault:
             self.abort(self._fault)
-            return
-        if self._is_complete:
+        elif self._is_complete:
+            self._has_extra_bytes |= len(self._unparsed) > 0
+            self._unparsed = _NO_BYTES
             self._finish_run()
-            return
+        else:
+            self._check_limits(len(data))
+
+    def _check_limits(self, received: int) -> None:
+        """Fail a run if its answer, or all unfinished answers, take too much."""
         budget = self.client.budget
-        budget.hold(self, len(data) + self._received_headers * HEADER_OBJECT_BYTES)
+        budget.hold(self, self._received_headers * HEADER_OBJECT_BYTES)
         if not self._has_progressed:
-            self._size_beside_body += len(data)
+            self._size_beside_body += received
         if self._size_beside_body > MAX_HEAD_BYTES:
             self.abort("answer head or framing too large")
         elif self._discarded > MAX_DISCARDED_ANSWERS:
@@ -184,6 +230,7 @@
 
     def on_message_begin(self) -> None:
         """Record whether another message follows the complete answer."""
+        self._events += 1
         self._reason = bytearray()
         if self._is_complete:
             self._has_extra_bytes = True
@@ -194,6 +241,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header, unless it is a trailer or follows the answer."""
+        self._events += 1
         if not self._has_final_head and not self._is_complete:
             self._check_joined(value)
             self._fields.add(name, value)
@@ -236,6 +284,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Add a part of the body."""
+        self._events += 1
         self._has_progressed = True
         if not self._is_complete:
             self._body.append(body)
@@ -251,6 +300,8 @@
             self._has_progressed = True
             self._release()
             self._reset()
+            self._size = len(self._unparsed)
+            self.client.budget.hold(self, self._size)
         elif self._has_final_head:
             self._is_complete = True
 
@@ -302,6 +353,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the run in progress, if any."""
         self.is_closed = True
+        self._unparsed = _NO_BYTES
         self._cancel_timer()
         self._release()
         run, self.run = self.run, 0
--- a/knapweedlead/http/tests/test_endless_answers.py
+++ b/knapweedlead/http/tests/test_endless_answers.py
@@ -16,6 +16,7 @@
     MAX_ANSWER_BYTES,
     MAX_DISCARDED_ANSWERS,
     MAX_HEAD_BYTES,
+    MAX_STEP_EVENTS,
     RunProtocol,
 )
 from knapweedlead.http.tests.fakes import FakeTransport
@@ -235,6 +236,99 @@
     assert answer.body == b"yes"
 
 
+MANY_EVENTS = {
+    "one-byte chunks": (CHUNKED, b"1\r\nx\r\n" * 40000),
+    "short headers": (HEAD, b"a:\r\n" * 16000),
+    "trailers": (CHUNKED + b"0\r\n", b"a:\r\n" * 16000),
+    "interim responses": (b"", b"HTTP/1.1 100\r\n\r\n" * 4000),
+}
+MAX_PART_EVENTS = 2100
+"""Events of the parser that one part of the input may cause."""
+
+
+def count_events(protocol):
+    """Count the parser's events of a protocol from now on, for each step."""
+    counts = []
+    parse_step = protocol._parse_step
+
+    def count():
+        parse_step()
+        counts.append(protocol._events)
+
+    protocol._parse_step = count
+    return counts
+
+
+@pytest.mark.parametrize("name", sorted(MANY_EVENTS))
+async def test_work_of_one_step_is_bounded_however_small_the_parts(name):
+    # Guards against a body of one-byte chunks that occupies the event loop.
+    run = Run()
+    counts = count_events(run.protocol)
+    first, rest = MANY_EVENTS[name]
+    run.protocol.data_received(first + rest)
+    transport = run.protocol.transport
+    assert not transport.is_reading
+    other_work = 0
+    while not (transport.is_reading or run.protocol.is_closed):
+        await asyncio.sleep(0)
+        other_work += 1
+    assert max(counts) <= MAX_STEP_EVENTS + MAX_PART_EVENTS
+    assert other_work >= sum(counts) // (MAX_STEP_EVENTS + MAX_PART_EVENTS)
+
+
+async def test_answer_in_small_chunks_over_several_steps_is_whole():
+    run = Run(request_id="mine")
+    head = CHUNKED.replace(b"\r\n", b"\r\nid: mine\r\n", 1)
+    run.protocol.data_received(head + b"2\r\nok\r\n" * 20000 + b"0\r\n\r\n")
+    assert not run.outcomes
+    while not run.outcomes:
+        await asyncio.sleep(0)
+    assert run.outcomes[0].body == b"ok" * 20000
+    assert not run.protocol.is_closed
+    assert run.protocol.transport.is_reading
+    assert run.client.buffered_bytes == 0
+
+
+@pytest.mark.parametrize("size", [1, 2000, 8000, 8100, 8192, 9000, 60_000])
+async def test_answer_behind_a_late_copy_is_its_own_whatever_their_sizes(size):
+    late = CHUNKED.replace(b"\r\n", b"\r\nid: other\r\n", 1)
+    late += b"1\r\nn\r\n" * size + b"0\r\n\r\n"
+    own = HEAD + b"id: mine\r\ncontent-length: %d\r\n\r\n" % size + b"y" * size
+    run = Run(request_id="mine")
+    run.protocol.data_received(late + own)
+    while not run.outcomes:
+        await asyncio.sleep(0)
+    (answer,) = run.outcomes
+    assert answer.body == b"y" * size
+    assert not run.protocol.is_closed
+    assert run.client.buffered_bytes == 0
+
+
+async def test_bytes_behind_an_answer_wait_for_no_later_run():
+    # Guards against input of one run that is parsed after the next one has begun.
+    run = Run(request_id="mine")
+    own = HEAD + b"id: mine\r\ncontent-length: 3\r\n\r\nyes"
+    run.protocol.data_received(own + b"x" * 100_000)
+    (answer,) = run.outcomes
+    assert answer.body == b"yes"
+    assert run.protocol.is_closed
+    assert run.client._acquire_idle() is None
+
+
+async def test_run_that_ends_between_two_steps_parses_no_further():
+    run = Run()
+    counts = count_events(run.protocol)
+    first, rest = MANY_EVENTS["one-byte chunks"]
+    run.protocol.data_received(first + rest)
+    run.protocol.abort("timeout")
+    run.protocol.connection_lost(None)
+    for _ in range(5):
+        await asyncio.sleep(0)
+    assert sum(counts[1:]) == 0
+    assert run.outcomes == [True]
+    assert run.client.buffered_bytes == 0
+
+
 @pytest.mark.parametrize(
     "name", ["body without a length", "headers", "chunks", "header value"]
 )
