Own interface: headers that Connection names are not forwarded

RFC 9110, section 7.6.1, has an intermediary remove them; the adapter of the users' platform did. No body was affected.

--- a/knapweedlead/calls/_headers.py
+++ b/knapweedlead/calls/_headers.py
@@ -20,6 +20,7 @@
         "host",
         "keep-alive",
         "proxy-authorization",
+        "proxy-connection",
         "te",
         "trailer",
         "transfer-encoding",
@@ -29,7 +30,11 @@
 
 
 def forwarded_headers(headers: dict[str, str]) -> dict[str, str]:
-    """Return the end-to-end headers, without credentials and hop-by-hop headers."""
-    return {
-        name: value for name, value in headers.items() if name not in _NOT_FORWARDED
-    }
+    """Return the end-to-end headers, without credentials and hop-by-hop headers.
+
+    Hop-by-hop headers are also those that ``Connection`` names (RFC 9110, section
+    7.6.1).
+    """
+    options = headers.get("connection", "").lower().split(",")
+    dropped = _NOT_FORWARDED.union(map(str.strip, options))
+    return {name: value for name, value in headers.items() if name not in dropped}
