HTTP server: the work that a caller's bytes cause in one step of the event loop is bounded

One read of 256 KiB from a caller, with 43,000 one-byte chunks or thousands of short headers, requests or offers, was parsed in one step; all other connections waited.

Change: both edges share `SteppedProtocol`, which parses 8 KiB at a time and leaves the rest to the next step after 512 headers or parts. Reading is paused meanwhile, the input that is left counts as the connection's memory, and a connection that has some is not idle. Limits and answers moved to modules of their own.

--- a/knapweedlead/http/__init__.py
+++ b/knapweedlead/http/__init__.py
@@ -2,9 +2,9 @@
 
 from knapweedlead.http._addresses import split_address
 from knapweedlead.http._budget import BufferBudget
-from knapweedlead.http._caller import HttpLimits
 from knapweedlead.http._client import REFUSED, BackendServerClient
 from knapweedlead.http._fetch import FetchFailure, fetch
+from knapweedlead.http._limits import HttpLimits
 from knapweedlead.http._run import CONNECTION_LOST, HttpAnswer
 from knapweedlead.http._server import CallerServer, HttpRequest
 
--- a/knapweedlead/http/_caller.py
+++ b/knapweedlead/http/_caller.py
@@ -4,7 +4,6 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
-import attrs
 import httptools
 
 from knapweedlead.http._body import BodyBuffer
@@ -15,6 +14,7 @@
     has_plain_transfer,
     response_bytes,
 )
+from knapweedlead.http._steps import SteppedProtocol
 
 if TYPE_CHECKING:
     from knapweedlead.http._server import CallerServer
@@ -26,27 +26,6 @@
 """Limit of the size of a chunked body with framing, relative to the body limit."""
 
 
-@attrs.frozen
-class HttpLimits:
-    """Size and time limits of requests and connections.
-
-    Parameters
-    ----------
-    max_header_bytes, max_body_bytes : int
-        Maximum sizes of the header block and of the body.
-    request_timeout : float
-        Seconds allowed from the first byte of a request to its last.
-    idle_timeout : float
-        Seconds after which a connection without a request in flight, or whose
-        caller does not read the responses, is closed.
-    """
-
-    max_header_bytes: int = 32 * 1024
-    max_body_bytes: int = 4 * 1024 * 1024
-    request_timeout: float = 30.0
-    idle_timeout: float = 75.0
-
-
 ParsedRequest = tuple[str, str, dict[str, str], bytes]
 """Method, request target, headers and body."""
 
@@ -54,7 +33,7 @@
 """Request, whether its connection is kept, and the bytes that it takes."""
 
 
-class CallerProtocol(asyncio.Protocol):
+class CallerProtocol(SteppedProtocol):
     """Parses pipelined requests, starts one at a time, and replies in order.
 
     Parameters
@@ -71,6 +50,7 @@
     """
 
     def __init__(self, server: "CallerServer") -> None:
+        super().__init__()
         self.server = server
         self.transport: asyncio.Transport = None  # type: ignore[assignment]
         self.parser = httptools.HttpRequestParser(self)
@@ -122,13 +102,25 @@
         """Report the exchange in flight as abandoned."""
         self.server.remove_connection(self)
         self._pipeline.clear()
+        self._drop_input()
         if self.exchange:
             self.server.abandon_exchange(self.exchange)
 
     def data_received(self, data: bytes) -> None:
-        """Parse input; an invalid request is refused after the pending replies."""
-        if self._rejection:
-            return
+        """Parse input; an invalid request is refused after the pending replies.
+
+        Reading is paused while the rest of the input waits for a later step of the
+        event loop.
+        """
+        self._parse_rest()
+        if not self._rejection:
+            self._receive(data)
+
+    def _end_step(self) -> None:
+        self._update_reading()
+        self._update_memory()
+
+    def _parse_part(self, data: memoryview) -> None:
         if not self._request_started_at:
             self._request_started_at = asyncio.get_running_loop().time()
         self._has_progressed = False
@@ -138,18 +130,18 @@
             self._reject(self._parse_failure or "malformed_request")
         else:
             self._check_framing(len(data))
-        self._update_memory()
+        if self._rejection:
+            self._drop_input()
 
     def _update_memory(self) -> None:
         """Record the memory of requests that have not been passed on."""
-        memory = self._memory
+        memory = self._memory + len(self._unparsed)
         if self._pipeline:
             memory += sum(size for _, _, size in self._pipeline)
         self.server.update_request_memory(self, memory)
 
-    def _parse(self, data: bytes) -> None:
+    def _parse(self, rest: memoryview) -> None:
         """Parse input; offers of another protocol (``Upgrade``) are ignored."""
-        rest = memoryview(data)
         while rest and not self._rejection:
             try:
                 self.parser.feed_data(rest)
@@ -186,6 +178,7 @@
 
     def on_message_begin(self) -> None:
         """Reset the state of the previous request."""
+        self._events += 1
         if not self._is_resuming:
             self._reset()
 
@@ -199,6 +192,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; trailers are ignored."""
+        self._events += 1
         if self._is_resuming:
             return
         self._size += len(name) + len(value)
@@ -232,6 +226,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Add a part of the body."""
+        self._events += 1
         self._has_progressed = True
         self._check_size(len(body), self.server.limits.max_body_bytes)
         self._memory += len(body)
@@ -268,7 +263,8 @@
         self.server.start_exchange(self, request)
 
     def _update_reading(self) -> None:
-        should_read = len(self._pipeline) < MAX_PIPELINED and self._can_write
+        has_room = len(self._pipeline) < MAX_PIPELINED and not self._unparsed
+        should_read = has_room and self._can_write
         if should_read == self._is_reading or self.transport.is_closing():
             return
         self._is_reading = should_read
@@ -281,7 +277,7 @@
         """Write the response of the exchange in flight, then start the next request."""
         self.exchange = 0
         self._last_active_at = asyncio.get_running_loop().time()
-        has_more = self._pipeline or self._rejection
+        has_more = self._pipeline or self._rejection or self._unparsed
         is_closing = self._closes_when_idle or self.server.is_closing
         is_last = self._closes_after_reply or (is_closing and not has_more)
         self.transport.write(
@@ -298,6 +294,7 @@
     def shed(self) -> None:
         """Refuse all requests of this connection that have not been passed on."""
         self._pipeline.clear()
+        self._drop_input()
         self._reset()
         self._update_memory()
         self._update_reading()
@@ -306,7 +303,8 @@
     def close_when_idle(self) -> None:
         """Close the connection after the pending replies."""
         self._closes_when_idle = True
-        if not (self.exchange or self._pipeline or self._request_started_at):
+        is_idle = not (self.exchange or self._pipeline or self._unparsed)
+        if is_idle and not self._request_started_at:
             self.transport.close()
 
     def check_timeouts(self, now: float) -> None:
@@ -318,7 +316,8 @@
             and not self._rejection
         ):
             self._reject("malformed_request")
-        is_idle = not self.exchange and not (self._pipeline and self._can_write)
+        has_work = self._pipeline or self._unparsed
+        is_idle = not self.exchange and not (has_work and self._can_write)
         if is_idle and now - self._last_active_at > self.server.limits.idle_timeout:
             self.transport.abort()
 
--- a/knapweedlead/http/_run.py
+++ b/knapweedlead/http/_run.py
@@ -4,16 +4,22 @@
 import re
 from typing import TYPE_CHECKING
 
-import attrs
 import httptools
 
 from knapweedlead.checks import FIRST_FINAL_STATUS, FIRST_INTERIM_STATUS, LAST_STATUS
+from knapweedlead.http._answers import (
+    HttpAnswer,
+    announces_body,
+    is_close_delimited,
+    keep_alive_timeout,
+)
 from knapweedlead.http._body import BodyBuffer
 from knapweedlead.http._headers import (
     HEADER_OBJECT_BYTES,
     HeaderCollector,
     has_plain_transfer,
 )
+from knapweedlead.http._steps import SteppedProtocol
 
 if TYPE_CHECKING:
     from knapweedlead.http._client import BackendServerClient
@@ -29,27 +35,11 @@
 
 CONNECTION_LOST = "connection lost"
 """Cause of a failure if the server closed the connection before its answer."""
-MAX_STEP_EVENTS = 512
-"""Headers and parts of bodies after which a connection lets the other work of the event
-loop go first."""
-_PART_BYTES = 8192
-"""Bytes that are parsed at once."""
-_NO_BYTES = memoryview(b"")
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}(?: [^\r\n]*)?$")
 """Status line at the end of a line that began as something else."""
-_STATUSES_WITHOUT_BODY = frozenset({204, 304})
-
-
-@attrs.frozen
-class HttpAnswer:
-    """A complete answer; header names are lower case."""
 
-    status: int
-    headers: dict[str, str]
-    body: bytes
 
-
-class RunProtocol(asyncio.Protocol):
+class RunProtocol(SteppedProtocol):
     """Sends a request and parses its answer.
 
     The body of an answer without a length is delimited by the end of the connection.
@@ -82,6 +72,7 @@
     """
 
     def __init__(self, client: "BackendServerClient") -> None:
+        super().__init__()
         self.client = client
         self.transport: asyncio.Transport = None  # type: ignore[assignment]
         self.parser = httptools.HttpResponseParser(self)
@@ -93,9 +84,7 @@
         self._has_served = False
         self._is_head = False
         self._discarded = 0
-        self._unparsed = _NO_BYTES
         self._is_paused = False
-        self._events = 0
         self._has_progressed = False
         self._received_headers = 0
         self._detail = CONNECTION_LOST
@@ -152,7 +141,7 @@
     def abort(self, detail: str) -> None:
         """Close the connection, which fails its run."""
         self.is_closed = True
-        self._unparsed = _NO_BYTES
+        self._drop_input()
         self._detail = detail
         self._release()
         self.transport.abort()
@@ -163,8 +152,7 @@
         Reading is paused while the rest of the input waits for a later step of the
         event loop.
         """
-        while self._unparsed:
-            self._parse_step()
+        self._parse_rest()
         if not self.run:
             self.abort("bytes without a request")
             return
@@ -173,29 +161,17 @@
             self.abort("answer too large")
             return
         self.client.budget.hold(self, len(data))
-        self._unparsed = memoryview(data)
-        self._continue_parsing()
+        self._receive(data)
 
-    def _continue_parsing(self) -> None:
-        """Parse input for one step of the event loop."""
-        self._parse_step()
-        if self._unparsed:
+    def _end_step(self) -> None:
+        if self._unparsed and not self._is_paused:
             self._is_paused = True
             self.transport.pause_reading()
-            asyncio.get_running_loop().call_soon(self._continue_parsing)
-        elif self._is_paused and not self.is_closed:
+        elif not self._unparsed and self._is_paused and not self.is_closed:
             self._is_paused = False
             self.transport.resume_reading()
 
-    def _parse_step(self) -> None:
-        """Parse input until it ends or has caused `MAX_STEP_EVENTS`."""
-        self._events = 0
-        while self._unparsed and self._events < MAX_STEP_EVENTS:
-            part = self._unparsed[:_PART_BYTES]
-            self._unparsed = self._unparsed[_PART_BYTES:]
-            self._parse(part)
-
-    def _parse(self, data: memoryview) -> None:
+    def _parse_part(self, data: memoryview) -> None:
         """Parse a part of the input; finish or fail the run if it decides that."""
         self._has_progressed = False
         self._received_headers = 0
@@ -210,7 +186,7 @@
             self.abort(self._fault)
         elif self._is_complete:
             self._has_extra_bytes |= len(self._unparsed) > 0
-            self._unparsed = _NO_BYTES
+            self._drop_input()
             self._finish_run()
         else:
             self._check_limits(len(data))
@@ -260,7 +236,7 @@
         self._check_joined(self._reason)
         self._headers = self._fields.take()
         if FIRST_INTERIM_STATUS <= status < FIRST_FINAL_STATUS:
-            if _announces_body(self._headers):
+            if announces_body(self._headers):
                 self._fault = "interim response with a body"
             return
         self._status = status
@@ -269,7 +245,7 @@
         if not answers_other:
             self._check_head()
         self._is_close_delimited = (
-            _is_close_delimited(status, self._headers) and not self._is_head
+            is_close_delimited(status, self._headers) and not self._is_head
         )
         self._keeps_alive = self.parser.should_keep_alive()
         if self._is_head and not answers_other:
@@ -343,7 +319,7 @@
             self._keeps_alive = False
         self._has_served = True
         self._cancel_timer()
-        self.idle_timeout = _keep_alive_timeout(self._headers)
+        self.idle_timeout = keep_alive_timeout(self._headers)
         answer = HttpAnswer(self._status, self._headers, self._body.take())
         self._release()
         if self._has_extra_bytes or not self._keeps_alive:
@@ -354,7 +330,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the run in progress, if any."""
         self.is_closed = True
-        self._unparsed = _NO_BYTES
+        self._drop_input()
         self._cancel_timer()
         self._release()
         run, self.run = self.run, 0
@@ -370,21 +346,3 @@
     def _cancel_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
-
-
-def _is_close_delimited(status: int, headers: dict[str, str]) -> bool:
-    has_length = "content-length" in headers or "transfer-encoding" in headers
-    return not has_length and status not in _STATUSES_WITHOUT_BODY
-
-
-def _announces_body(headers: dict[str, str]) -> bool:
-    return "transfer-encoding" in headers or headers.get("content-length", "0") != "0"
-
-
-def _keep_alive_timeout(headers: dict[str, str]) -> float:
-    """Return the ``Keep-Alive`` timeout in seconds; 0 if the headers state none."""
-    for part in headers.get("keep-alive", "").split(","):
-        name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
-            return float(value)
-    return 0.0
--- a/knapweedlead/http/_server.py
+++ b/knapweedlead/http/_server.py
@@ -8,7 +8,8 @@
 
 from knapweedlead.checks import check_final_status
 from knapweedlead.http._budget import BufferBudget
-from knapweedlead.http._caller import CallerProtocol, HttpLimits, ParsedRequest
+from knapweedlead.http._caller import CallerProtocol, ParsedRequest
+from knapweedlead.http._limits import HttpLimits
 from knapweedlead.http._listener import Listener
 
 MAX_CALLER_CONNECTIONS = 8192
--- a/knapweedlead/http/tests/test_endless_answers.py
+++ b/knapweedlead/http/tests/test_endless_answers.py
@@ -16,9 +16,9 @@
     MAX_ANSWER_BYTES,
     MAX_DISCARDED_ANSWERS,
     MAX_HEAD_BYTES,
-    MAX_STEP_EVENTS,
     RunProtocol,
 )
+from knapweedlead.http._steps import MAX_STEP_EVENTS
 from knapweedlead.http.tests.fakes import FakeTransport
 from knapweedlead.transport.tests.links import wait_until
 from standins.fleet import free_address
--- a/knapweedlead/http/tests/test_offered_protocols.py
+++ b/knapweedlead/http/tests/test_offered_protocols.py
@@ -59,6 +59,8 @@
         protocol.connection_made(transport)
         for part in parts:
             protocol.data_received(part)
+        while protocol._unparsed:
+            await asyncio.sleep(0)
         return server, transport
 
     return asyncio.run(run())
