HTTP server: requests behind the last reply of a connection are not started

While a connection closes with a reply (Connection: close), requests that stood behind it in the same read were still passed on; their replies could not be written, so that a request ran and its caller got nothing. RFC 9112, section 9.6, lets none be processed.

Before: the test fails (1,756 replies to 2,000 requests that were passed on). After: it passes.

--- a/knapweedlead/http/_caller.py
+++ b/knapweedlead/http/_caller.py
@@ -234,7 +234,8 @@
 
     def on_message_complete(self) -> None:
         """Start the request, or queue it behind the exchange in flight."""
-        if self._rejection or self._is_head_only:
+        is_ignored = self._rejection or self.transport.is_closing()
+        if is_ignored or self._is_head_only:
             return
         path = self._url.decode("latin-1")
         request = (self._method, path, self._headers, self._body.take())
--- a/knapweedlead/http/tests/test_endless_requests.py
+++ b/knapweedlead/http/tests/test_endless_requests.py
@@ -137,6 +137,8 @@
     while not protocol.transport.is_closed:
         await asyncio.sleep(0)
     assert len(server.requests) > answered
+    replies = protocol.transport.written.count(b"HTTP/1.1 200")
+    assert replies == len(server.requests)
 
 
 async def test_lost_or_shed_connection_parses_no_further():
