--- a/knapweedlead/platform/tests/soak/faults.py
+++ b/knapweedlead/platform/tests/soak/faults.py
@@ -13,7 +13,7 @@
 from knapweedlead.platform.tests.soak.servers import SERVICE_TIME
 
 FAULTS: dict[str, Callable] = {}
-GENERATION = 2
+GENERATION = 3
 """Newest generation of faults."""
 DRAINING_TIME = 3.0
 """Seconds for which a draining server still serves: the drain limit and a margin."""
--- a/knapweedlead/platform/tests/soak/servers.py
+++ b/knapweedlead/platform/tests/soak/servers.py
@@ -18,6 +18,9 @@
 REFUSED_SHARE = 4
 """One request in so many is refused while a server repeats its refusals."""
 CUT_HEAD = b"HTTP/1.1 200 OK\r\ncontent-len"
+CUT_REFUSAL = b"HTTP/1.1 503 Service Unavailable\r\nknapweedlead-not-executed: 1"
+JOINED_SHARE = 4
+"""One answer in so many follows the beginning of a refusal while they are joined."""
 
 _starts = itertools.count(1)
 
@@ -29,7 +32,8 @@
     ----------
     answer_fault : str
         ``"repeat"`` or ``"repeat_unnamed"``: refusals are written once more before the
-        next answer of the connection; ``"cut"``: answers end within their head.
+        next answer of the connection; ``"cut"``: answers end within their head;
+        ``"join"``: the beginning of a refusal precedes some answers.
     """
 
     def __init__(self, address, announced_address, report_address, place, observations):
@@ -138,5 +142,7 @@
         }
         answer |= self.notices
         self._note_answer()
+        if self.answer_fault == "join" and next(self._arrivals) % JOINED_SHARE == 0:
+            request.connection.transport.write(CUT_REFUSAL)
         body = f"{self.instance} {request.path} ".encode()
         self.server.reply(request.exchange, 200, answer, body)
