HTTP server: a pipelined request that expects 100 Continue gets it once its turn has come

A client that sent a request with "Expect: 100-continue" behind one that was still running never got the 100 response: it was sent at the end of the head, if at all. The client kept its body back, and the request ended at the limit for its arrival.

Change: the response is sent once the requests before are answered, if the body has not arrived by then, and not to clients of HTTP/1.0.

--- a/knapweedlead/http/_caller.py
+++ b/knapweedlead/http/_caller.py
@@ -74,6 +74,7 @@
         self._url = b""
         self._method = ""
         self._is_head_only = False
+        self._awaits_continue = False
         self._fields = HeaderCollector()
         self._headers: dict[str, str] = {}
         self._body = BodyBuffer()
@@ -221,7 +222,17 @@
             raise ValueError("transfer coding is not supported")
         self._keeps_alive = self.parser.should_keep_alive()
         expects_continue = self._headers.get("expect", "").lower() == "100-continue"
-        if expects_continue and not self.exchange:
+        # A version below 1.1 has no interim responses.
+        self._awaits_continue = (
+            expects_continue and self.parser.get_http_version() == "1.1"
+        )
+        if not self.exchange and not self._pipeline:
+            self._write_continue()
+
+    def _write_continue(self) -> None:
+        """Send ``100 Continue`` once if the request that arrives waits for it."""
+        if self._awaits_continue:
+            self._awaits_continue = False
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
@@ -237,6 +248,7 @@
         is_ignored = self._rejection or self.transport.is_closing()
         if is_ignored or self._is_head_only:
             return
+        self._awaits_continue = False
         path = self._url.decode("latin-1")
         request = (self._method, path, self._headers, self._body.take())
         self._pipeline.append((request, self._keeps_alive, self._memory))
@@ -291,6 +303,8 @@
             self._update_memory()
         elif self._rejection:
             self._write_rejection()
+        else:
+            self._write_continue()
 
     def shed(self) -> None:
         """Refuse all requests of this connection that have not been passed on."""
--- a/knapweedlead/http/tests/test_offered_protocols.py
+++ b/knapweedlead/http/tests/test_offered_protocols.py
@@ -50,20 +50,21 @@
 FRAMINGS = {"length": with_length, "chunks": in_chunks}
 
 
-def receive(*parts, replies_immediately=True):
+async def connect(*parts, replies_immediately=False):
     """Return the server and the transport after a connection received some bytes."""
+    server = RecordingServer(replies_immediately=replies_immediately)
+    protocol, transport = CallerProtocol(server), FakeTransport()
+    protocol.connection_made(transport)
+    for part in parts:
+        protocol.data_received(part)
+    while protocol._unparsed:
+        await asyncio.sleep(0)
+    return server, transport
 
-    async def run():
-        server = RecordingServer(replies_immediately=replies_immediately)
-        protocol, transport = CallerProtocol(server), FakeTransport()
-        protocol.connection_made(transport)
-        for part in parts:
-            protocol.data_received(part)
-        while protocol._unparsed:
-            await asyncio.sleep(0)
-        return server, transport
 
-    return asyncio.run(run())
+def receive(*parts):
+    """Return the server, which replies at once, and the transport."""
+    return asyncio.run(connect(*parts, replies_immediately=True))
 
 
 def runs(server):
@@ -196,3 +197,31 @@
     data = in_chunks(b"POST", b"", INNER).replace(b"chunked", coding, 1) + NEXT
     server, _ = receive(data)
     assert runs(server) == [("POST", "/own", INNER), ("GET", "/next", b"")]
+
+
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+EXPECTING = b"POST /own HTTP/1.1\r\nexpect: 100-continue\r\ncontent-length: 2\r\n\r\n"
+
+
+@pytest.mark.parametrize("count", [1, 2, 3])
+async def test_continue_is_sent_once_the_requests_before_are_answered(count):
+    # Guards against a pipelined request whose client waits for it in vain.
+    server, transport = await connect(NEXT * count + EXPECTING)
+    for number in range(count):
+        assert CONTINUE not in transport.written
+        server.reply(server.requests[number].exchange, 200, {}, b"")
+    assert transport.written.count(CONTINUE) == 1
+    assert transport.written.endswith(CONTINUE)
+
+
+async def test_continue_is_not_sent_behind_a_body_that_has_arrived():
+    server, transport = await connect(NEXT + EXPECTING + b"ok")
+    for number in range(2):
+        server.reply(server.requests[number].exchange, 200, {}, b"")
+    assert CONTINUE not in transport.written
+    assert server.requests[1].body == b"ok"
+
+
+async def test_continue_is_not_sent_to_a_client_without_interim_responses():
+    _, transport = await connect(EXPECTING.replace(b"HTTP/1.1", b"HTTP/1.0"))
+    assert transport.written == b""
