Command line: the refusal of a watch is limited in size too

Found by reading the change: the body of a refused watch was still collected without a limit. Before: 2 of the 8 cases of the test fail. After: they pass.

--- a/knapweedlead/operators/_client.py
+++ b/knapweedlead/operators/_client.py
@@ -17,8 +17,9 @@
 """Seconds after which an attempt at one daemon counts as failed."""
 ATTEMPTS_PER_ADDRESS = 2
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+"""Size limit of a response other than that of a watch."""
 MAX_LINE_BYTES = 4 * 1024 * 1024
-"""Size limit of a change in a watch."""
+"""Size limit of a change in a watch, and of the refusal of one."""
 
 _PRECONDITION_FAILED = 412
 _FIRST_ERROR = 400
@@ -143,7 +144,7 @@
                         response = await session.get(path, headers=self._headers(""))
                     has_response = True
                     if response.status >= _FIRST_ERROR:
-                        body = b"".join([part async for part in response.stream()])
+                        body = await _read_body(response.stream())
                         yield _read_response(address, "GET", response.status, body)
                         return
                     async for line in _read_lines(response.stream()):
@@ -173,8 +174,27 @@
             yield bytes(rest + line)
             rest.clear()
         rest += end
-        if len(rest) > MAX_LINE_BYTES:
-            raise ValueError(f"expected lines of at most {MAX_LINE_BYTES} bytes")
+        _check_length(rest)
+
+
+async def _read_body(parts: AsyncIterable[bytes]) -> bytes:
+    """Return a streamed body.
+
+    Raises
+    ------
+    ValueError
+        The body is longer than `MAX_LINE_BYTES`.
+    """
+    body = bytearray()
+    async for part in parts:
+        body += part
+        _check_length(body)
+    return bytes(body)
+
+
+def _check_length(received: bytearray) -> None:
+    if len(received) > MAX_LINE_BYTES:
+        raise ValueError(f"expected at most {MAX_LINE_BYTES} bytes")
 
 
 def _read_response(
--- a/knapweedlead/operators/tests/test_client.py
+++ b/knapweedlead/operators/tests/test_client.py
@@ -73,16 +73,17 @@
 }
 
 
+@pytest.mark.parametrize("status", [200, 503])
 @pytest.mark.parametrize("is_watch", [False, True])
 @pytest.mark.parametrize("name", sorted(ENDLESS))
-async def test_response_without_end_is_cut_at_its_limit(name, is_watch):
+async def test_response_without_end_is_cut_at_its_limit(name, is_watch, status):
     # Guards against a response that is kept as long as a daemon sends.
     sent = 0
 
     async def serve(reader, writer):
         nonlocal sent
         sent = 0
-        head = b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n"
+        head = b"HTTP/1.1 %d x\r\ncontent-type: application/json\r\n" % status
         try:
             await reader.readuntil(b"\r\n\r\n")
             writer.write(head + ENDLESS[name])
