Own interface: a connection to the store may take as long as its answer

Found by reading the change: through the project's HTTP client, opening a connection to the store or to a daemon's operator listener had one second, as for backend servers; it had the whole timeout before. A lost packet would have failed the call.

Connections to backend servers and to the users' store keep their limit.

--- a/knapweedlead/http/_client.py
+++ b/knapweedlead/http/_client.py
@@ -19,7 +19,7 @@
 REFUSED = "connection refused"
 """Cause of a failure if nothing accepts connections at the server's address."""
 CONNECT_TIMEOUT = 1.0
-"""Time limit for opening a connection; callers use the same limit."""
+"""Default time limit for opening a connection; callers use the same limit."""
 
 
 class BackendServerClient:
@@ -48,6 +48,8 @@
         Called when the last open connection is lost.
     max_answer_bytes : int
         Size limit of an answer with its headers.
+    connect_timeout : float
+        Largest number of seconds allowed for opening a connection.
 
     Attributes
     ----------
@@ -70,7 +72,9 @@
         accepts_close_delimited: bool = False,
         on_disconnected: Callable[[], None] | None = None,
         max_answer_bytes: int = MAX_ANSWER_BYTES,
+        connect_timeout: float = CONNECT_TIMEOUT,
     ) -> None:
+        self.connect_timeout = connect_timeout
         self.max_answer_bytes = max_answer_bytes
         self.on_disconnected = on_disconnected
         self.request_id_header = request_id_header
@@ -123,7 +127,7 @@
         body : bytes
             Complete request body.
         timeout : float
-            Seconds allowed for connecting, at most `CONNECT_TIMEOUT`, and again for the
+            Seconds allowed for connecting, at most `connect_timeout`, and again for the
             answer.
         """
         data = request_bytes(self.address, method, path, headers, body)
@@ -143,7 +147,7 @@
         is_head : bool
             Whether the method is HEAD, so that the answer has no body.
         timeout : float
-            Seconds allowed for connecting, at most `CONNECT_TIMEOUT`, and again for the
+            Seconds allowed for connecting, at most `connect_timeout`, and again for the
             answer.
         request_id : str
             Request ID; answers with a different request ID are discarded. Empty to
@@ -158,7 +162,7 @@
             self.on_failure(run, False, "connection limit")
             return
         self._connection_count += 1
-        task = asyncio.ensure_future(self._connect(min(timeout, CONNECT_TIMEOUT)))
+        task = asyncio.ensure_future(self._connect(min(timeout, self.connect_timeout)))
         self._task_by_run[run] = task
         task.add_done_callback(
             lambda done: self._on_connected(
@@ -236,7 +240,7 @@
     def check_listening(self, on_refused: Callable[[], None]) -> None:
         """Open a connection for later runs; report if the address refuses it."""
         self._connection_count += 1
-        task = asyncio.ensure_future(self._connect(CONNECT_TIMEOUT))
+        task = asyncio.ensure_future(self._connect(self.connect_timeout))
         self._checks.add(task)
         task.add_done_callback(partial(self._on_checked, on_refused))
 
--- a/knapweedlead/http/_fetch.py
+++ b/knapweedlead/http/_fetch.py
@@ -48,7 +48,7 @@
     body : bytes
         Complete request body.
     timeout : float
-        Seconds allowed for the answer once the connection is open.
+        Seconds allowed for opening the connection, and again for the answer.
     max_answer_bytes : int
         Size limit of the answer; the connection is closed beyond it.
     """
@@ -66,6 +66,7 @@
         lambda run, was_sent, detail: end(Err(FetchFailure(was_sent, detail))),
         accepts_close_delimited=True,
         max_answer_bytes=max_answer_bytes,
+        connect_timeout=timeout,
     )
     try:
         client.run(1, method, path, headers, body, timeout)
