HTTP: messages that arrive in one small read take the short way again

Callers were not affected; processor time was.

Cause: each read, however small, went through the queue of unparsed input, and an answer that came in one read was entered in the memory limits and taken out again.

Change: input of up to 8 KiB is parsed at once, as a later part would be; it counts against the limits where a message is left unfinished, as before. The id of an answer is compared once. Nothing is decided otherwise.

All tests of the edges pass.

--- a/knapweedlead/http/_caller.py
+++ b/knapweedlead/http/_caller.py
@@ -113,15 +113,17 @@
         Reading is paused while the rest of the input waits for a later step of the
         event loop.
         """
-        self._parse_rest()
+        if self._unparsed:
+            self._parse_rest()
         if not self._rejection:
             self._receive(data)
 
     def _end_step(self) -> None:
-        self._update_reading()
+        if self._unparsed or not self._is_reading:
+            self._update_reading()
         self._update_memory()
 
-    def _parse_part(self, data: memoryview) -> None:
+    def _parse_part(self, data: bytes | memoryview) -> None:
         if not self._request_started_at:
             self._request_started_at = asyncio.get_running_loop().time()
         self._has_progressed = False
@@ -141,14 +143,14 @@
             memory += sum(size for _, _, size in self._pipeline)
         self.server.update_request_memory(self, memory)
 
-    def _parse(self, rest: memoryview) -> None:
+    def _parse(self, rest: bytes | memoryview) -> None:
         """Parse input; offers of another protocol (``Upgrade``) are ignored."""
         while rest and not self._rejection:
             try:
                 self.parser.feed_data(rest)
                 return
             except httptools.HttpParserUpgrade as upgrade:
-                rest = rest[upgrade.args[0] :]
+                rest = memoryview(rest)[upgrade.args[0] :]
                 self._resume_after_head()
 
     def _resume_after_head(self) -> None:
@@ -226,14 +228,13 @@
         self._awaits_continue = (
             expects_continue and self.parser.get_http_version() == "1.1"
         )
-        if not self.exchange and not self._pipeline:
+        if self._awaits_continue and not self.exchange and not self._pipeline:
             self._write_continue()
 
     def _write_continue(self) -> None:
-        """Send ``100 Continue`` once if the request that arrives waits for it."""
-        if self._awaits_continue:
-            self._awaits_continue = False
-            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        """Send ``100 Continue`` for the request that arrives and waits for it."""
+        self._awaits_continue = False
+        self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         """Add a part of the body."""
@@ -303,7 +304,7 @@
             self._update_memory()
         elif self._rejection:
             self._write_rejection()
-        else:
+        elif self._awaits_continue:
             self._write_continue()
 
     def shed(self) -> None:
--- a/knapweedlead/http/_headers.py
+++ b/knapweedlead/http/_headers.py
@@ -55,8 +55,8 @@
 
     Other codings would have to be removed before the body is passed on.
     """
-    coding = headers.get("transfer-encoding", _CHUNKED)
-    return coding.strip().lower() == _CHUNKED
+    coding = headers.get("transfer-encoding")
+    return coding is None or coding.strip().lower() == _CHUNKED
 
 
 def framing_head(headers: dict[str, str], keeps_alive: bool) -> bytes:
--- a/knapweedlead/http/_run.py
+++ b/knapweedlead/http/_run.py
@@ -19,7 +19,7 @@
     HeaderCollector,
     has_plain_transfer,
 )
-from knapweedlead.http._steps import SteppedProtocol
+from knapweedlead.http._steps import PART_BYTES, SteppedProtocol
 
 if TYPE_CHECKING:
     from knapweedlead.http._client import BackendServerClient
@@ -85,6 +85,7 @@
         self._is_head = False
         self._discarded = 0
         self._is_paused = False
+        self._is_input_held = False
         self._has_progressed = False
         self._received_headers = 0
         self._detail = CONNECTION_LOST
@@ -99,6 +100,7 @@
         self._size_beside_body = 0
         self._status = 0
         self._has_final_head = False
+        self._is_late = False
         self._keeps_alive = True
         self._is_complete = False
         self._is_close_delimited = False
@@ -152,7 +154,8 @@
         Reading is paused while the rest of the input waits for a later step of the
         event loop.
         """
-        self._parse_rest()
+        if self._unparsed:
+            self._parse_rest()
         if not self.run:
             self.abort("bytes without a request")
             return
@@ -160,7 +163,9 @@
         if self._size > self.client.max_answer_bytes:
             self.abort("answer too large")
             return
-        self.client.budget.hold(self, len(data))
+        self._is_input_held = len(data) > PART_BYTES
+        if self._is_input_held:
+            self.client.budget.hold(self, len(data))
         self._receive(data)
 
     def _end_step(self) -> None:
@@ -171,7 +176,7 @@
             self._is_paused = False
             self.transport.resume_reading()
 
-    def _parse_part(self, data: memoryview) -> None:
+    def _parse_part(self, data: bytes | memoryview) -> None:
         """Parse a part of the input; finish or fail the run if it decides that."""
         self._has_progressed = False
         self._received_headers = 0
@@ -185,8 +190,9 @@
         if self._fault:
             self.abort(self._fault)
         elif self._is_complete:
-            self._has_extra_bytes |= len(self._unparsed) > 0
-            self._drop_input()
+            if self._unparsed:
+                self._has_extra_bytes = True
+                self._drop_input()
             self._finish_run()
         else:
             self._check_limits(len(data))
@@ -194,7 +200,8 @@
     def _check_limits(self, received: int) -> None:
         """Fail a run if its answer, or all unfinished answers, take too much."""
         budget = self.client.budget
-        budget.hold(self, self._received_headers * HEADER_OBJECT_BYTES)
+        held = self._received_headers * HEADER_OBJECT_BYTES
+        budget.hold(self, held if self._is_input_held else held + received)
         if not self._has_progressed:
             self._size_beside_body += received
         if self._size_beside_body > MAX_HEAD_BYTES:
@@ -219,13 +226,14 @@
         """Add a header, unless it is a trailer or follows the answer."""
         self._events += 1
         if not self._has_final_head and not self._is_complete:
-            self._check_joined(value)
+            if b"HTTP/" in value:
+                self._check_joined(value)
             self._fields.add(name, value)
             self._received_headers += 1
 
     def _check_joined(self, text: bytes | bytearray) -> None:
         """Fail the run if a reason or a header ends in the status line of an answer."""
-        if b"HTTP/" in text and _STATUS_LINE.search(text):
+        if _STATUS_LINE.search(text):
             self._fault = "answer joined with another one"
 
     def on_headers_complete(self) -> None:
@@ -233,7 +241,8 @@
         status = self.parser.get_status_code()
         if self._is_complete:
             return
-        self._check_joined(self._reason)
+        if b"HTTP/" in self._reason:
+            self._check_joined(self._reason)
         self._headers = self._fields.take()
         if FIRST_INTERIM_STATUS <= status < FIRST_FINAL_STATUS:
             if announces_body(self._headers):
@@ -241,14 +250,14 @@
             return
         self._status = status
         self._has_final_head = True
-        answers_other = self._answers_other_request()
-        if not answers_other:
+        self._is_late = self._answers_other_request()
+        if not self._is_late:
             self._check_head()
         self._is_close_delimited = (
             is_close_delimited(status, self._headers) and not self._is_head
         )
         self._keeps_alive = self.parser.should_keep_alive()
-        if self._is_head and not answers_other:
+        if self._is_head and not self._is_late:
             self._keeps_alive = False
             self._is_complete = True
 
@@ -271,7 +280,7 @@
 
         An answer with a different request ID is discarded instead.
         """
-        if self._has_final_head and self._answers_other_request():
+        if self._is_late:
             self.client.discarded_answers += 1
             self._discarded += 1
             self._has_progressed = True
--- a/knapweedlead/http/_steps.py
+++ b/knapweedlead/http/_steps.py
@@ -23,6 +23,10 @@
 
     def _receive(self, data: bytes) -> None:
         """Parse input for one step of the event loop."""
+        if len(data) <= PART_BYTES:
+            self._parse_part(data)
+            self._end_step()
+            return
         self._unparsed = memoryview(data)
         self._continue_parsing()
 
@@ -53,7 +57,7 @@
     def _drop_input(self) -> None:
         self._unparsed = _NO_BYTES
 
-    def _parse_part(self, data: memoryview) -> None:
+    def _parse_part(self, data: bytes | memoryview) -> None:
         raise NotImplementedError
 
     def _end_step(self) -> None:
