--- a/knapweedlead/http/tests/fakes.py
+++ b/knapweedlead/http/tests/fakes.py
@@ -2,6 +2,22 @@
 
 from knapweedlead.http import CallerServer
 
+MAX_PART_EVENTS = 2100
+"""Events of the parser that one part of the input may cause."""
+
+
+def count_events(protocol):
+    """Count the parser's events of a protocol from now on, for each step."""
+    counts = []
+    parse_step = protocol._parse_step
+
+    def count():
+        parse_step()
+        counts.append(protocol._events)
+
+    protocol._parse_step = count
+    return counts
+
 
 class FakeTransport:
     """Transport that records the written bytes."""
--- a/knapweedlead/http/tests/test_endless_answers.py
+++ b/knapweedlead/http/tests/test_endless_answers.py
@@ -19,7 +19,7 @@
     RunProtocol,
 )
 from knapweedlead.http._steps import MAX_STEP_EVENTS
-from knapweedlead.http.tests.fakes import FakeTransport
+from knapweedlead.http.tests.fakes import MAX_PART_EVENTS, FakeTransport, count_events
 from knapweedlead.transport.tests.links import wait_until
 from standins.fleet import free_address
 
@@ -268,21 +268,6 @@
     "trailers": (CHUNKED + b"0\r\n", b"a:\r\n" * 16000),
     "interim responses": (b"", b"HTTP/1.1 100\r\n\r\n" * 4000),
 }
-MAX_PART_EVENTS = 2100
-"""Events of the parser that one part of the input may cause."""
-
-
-def count_events(protocol):
-    """Count the parser's events of a protocol from now on, for each step."""
-    counts = []
-    parse_step = protocol._parse_step
-
-    def count():
-        parse_step()
-        counts.append(protocol._events)
-
-    protocol._parse_step = count
-    return counts
 
 
 @pytest.mark.parametrize("name", sorted(MANY_EVENTS))
--- a/knapweedlead/http/tests/test_endless_requests.py
+++ b/knapweedlead/http/tests/test_endless_requests.py
@@ -10,7 +10,12 @@
 from knapweedlead.http import HttpLimits
 from knapweedlead.http._caller import CallerProtocol
 from knapweedlead.http._steps import MAX_STEP_EVENTS
-from knapweedlead.http.tests.fakes import FakeTransport, RecordingServer
+from knapweedlead.http.tests.fakes import (
+    MAX_PART_EVENTS,
+    FakeTransport,
+    RecordingServer,
+    count_events,
+)
 from knapweedlead.http.tests.test_http_server import GET
 
 HEAD = b"POST /a HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n"
@@ -84,22 +89,13 @@
     "short offers": b"GET /a HTTP/1.1\r\nupgrade: x\r\nconnection: upgrade\r\n\r\n"
     * 4000,
 }
-MAX_PART_EVENTS = 2100
-"""Events of the parser that one part of the input may cause."""
 
 
 @pytest.mark.parametrize("name", sorted(MANY_EVENTS))
 async def test_work_of_one_step_is_bounded_however_small_the_parts(name):
     # Guards against an upload in one-byte chunks that occupies the event loop.
     server, protocol = open_connection(max_header_bytes=1 << 20)
-    counts = []
-    parse_step = protocol._parse_step
-
-    def count():
-        parse_step()
-        counts.append(protocol._events)
-
-    protocol._parse_step = count
+    counts = count_events(protocol)
     protocol.data_received(MANY_EVENTS[name])
     assert not protocol.transport.is_reading
     other_work = 0
