--- a/knapweedlead/http/_caller.py
+++ b/knapweedlead/http/_caller.py
@@ -49,6 +49,40 @@
         Bytes that the request in flight takes.
     """
 
+    __slots__ = (
+        "_awaits_continue",
+        "_body",
+        "_can_write",
+        "_closes_after_reply",
+        "_closes_when_idle",
+        "_fields",
+        "_framed_size",
+        "_has_progressed",
+        "_headers",
+        "_is_head_method",
+        "_is_head_only",
+        "_is_in_head",
+        "_is_reading",
+        "_is_resuming",
+        "_keeps_alive",
+        "_last_active_at",
+        "_max_header_bytes",
+        "_memory",
+        "_method",
+        "_parse_failure",
+        "_pipeline",
+        "_rejection",
+        "_request_started_at",
+        "_size",
+        "_size_beside_body",
+        "_url",
+        "exchange",
+        "exchange_size",
+        "parser",
+        "server",
+        "transport",
+    )
+
     def __init__(self, server: "CallerServer") -> None:
         super().__init__()
         self.server = server
--- a/knapweedlead/http/_run.py
+++ b/knapweedlead/http/_run.py
@@ -71,6 +71,40 @@
         Seconds for which the server keeps an idle connection open; 0 if unknown.
     """
 
+    __slots__ = (
+        "_body",
+        "_detail",
+        "_discarded",
+        "_fault",
+        "_fields",
+        "_has_extra_bytes",
+        "_has_final_head",
+        "_has_progressed",
+        "_has_served",
+        "_headers",
+        "_is_close_delimited",
+        "_is_complete",
+        "_is_head",
+        "_is_input_held",
+        "_is_late",
+        "_is_paused",
+        "_keeps_alive",
+        "_reason",
+        "_received_headers",
+        "_request_id",
+        "_size",
+        "_size_beside_body",
+        "_status",
+        "_timer",
+        "client",
+        "idle_since",
+        "idle_timeout",
+        "is_closed",
+        "parser",
+        "run",
+        "transport",
+    )
+
     def __init__(self, client: "BackendServerClient") -> None:
         super().__init__()
         self.client = client
--- a/knapweedlead/http/_steps.py
+++ b/knapweedlead/http/_steps.py
@@ -17,6 +17,8 @@
     left.
     """
 
+    __slots__ = ("_events", "_unparsed")
+
     def __init__(self) -> None:
         self._unparsed = _NO_BYTES
         self._events = 0
--- a/knapweedlead/http/tests/fakes.py
+++ b/knapweedlead/http/tests/fakes.py
@@ -1,21 +1,22 @@
 """Fake transport and servers for the HTTP protocols."""
 
 from knapweedlead.http import CallerServer
+from knapweedlead.http._steps import SteppedProtocol
 
 MAX_PART_EVENTS = 2100
 """Events of the parser that one part of the input may cause."""
 
 
-def count_events(protocol):
-    """Count the parser's events of a protocol from now on, for each step."""
+def count_events(monkeypatch):
+    """Count the parser's events of all connections from now on, for each step."""
     counts = []
-    parse_step = protocol._parse_step
+    parse_step = SteppedProtocol._parse_step
 
-    def count():
-        parse_step()
+    def count(protocol):
+        parse_step(protocol)
         counts.append(protocol._events)
 
-    protocol._parse_step = count
+    monkeypatch.setattr(SteppedProtocol, "_parse_step", count)
     return counts
 
 
--- a/knapweedlead/http/tests/test_endless_answers.py
+++ b/knapweedlead/http/tests/test_endless_answers.py
@@ -271,10 +271,10 @@
 
 
 @pytest.mark.parametrize("name", sorted(MANY_EVENTS))
-async def test_work_of_one_step_is_bounded_however_small_the_parts(name):
+async def test_work_of_one_step_is_bounded_however_small_the_parts(name, monkeypatch):
     # Guards against a body of one-byte chunks that occupies the event loop.
     run = Run()
-    counts = count_events(run.protocol)
+    counts = count_events(monkeypatch)
     first, rest = MANY_EVENTS[name]
     run.protocol.data_received(first + rest)
     transport = run.protocol.transport
@@ -326,9 +326,9 @@
     assert run.client._acquire_idle() is None
 
 
-async def test_run_that_ends_between_two_steps_parses_no_further():
+async def test_run_that_ends_between_two_steps_parses_no_further(monkeypatch):
     run = Run()
-    counts = count_events(run.protocol)
+    counts = count_events(monkeypatch)
     first, rest = MANY_EVENTS["one-byte chunks"]
     run.protocol.data_received(first + rest)
     run.protocol.abort("timeout")
--- a/knapweedlead/http/tests/test_endless_requests.py
+++ b/knapweedlead/http/tests/test_endless_requests.py
@@ -92,10 +92,10 @@
 
 
 @pytest.mark.parametrize("name", sorted(MANY_EVENTS))
-async def test_work_of_one_step_is_bounded_however_small_the_parts(name):
+async def test_work_of_one_step_is_bounded_however_small_the_parts(name, monkeypatch):
     # Guards against an upload in one-byte chunks that occupies the event loop.
     server, protocol = open_connection(max_header_bytes=1 << 20)
-    counts = count_events(protocol)
+    counts = count_events(monkeypatch)
     protocol.data_received(MANY_EVENTS[name])
     assert not protocol.transport.is_reading
     other_work = 0
--- a/knapweedlead/http/tests/test_handler_errors.py
+++ b/knapweedlead/http/tests/test_handler_errors.py
@@ -75,10 +75,15 @@
     monkeypatch.setattr(_server, "_SWEEP_SECONDS", 0.01)
     server = RecordingServer()
     failing, _ = connect(server)
-    other, _ = connect(server)
+    connect(server)
     checks = []
-    monkeypatch.setattr(failing, "check_timeouts", lambda now: 1 / 0)
-    monkeypatch.setattr(other, "check_timeouts", checks.append)
+
+    def check_timeouts(protocol, now):
+        if protocol is failing:
+            raise ZeroDivisionError
+        checks.append(now)
+
+    monkeypatch.setattr(CallerProtocol, "check_timeouts", check_timeouts)
     server._sweep()
     await asyncio.sleep(0.1)
     server._sweep_timer.cancel()
