--- a/review/lib3/fleet.py
+++ b/review/lib3/fleet.py
@@ -114,6 +114,15 @@
         self.file.write(f"{time.monotonic() - self.started:8.3f} {text}\n")
 
 
+def resident_mb(pid):
+    """Return the memory of a process in MB; 0.0 if it has ended."""
+    try:
+        pages = int(Path(f"/proc/{pid}/statm").read_text("ascii").split()[1])
+    except (OSError, IndexError):
+        return 0.0
+    return pages * os.sysconf("SC_PAGE_SIZE") / (1 << 20)
+
+
 class Daemon:
     """One daemon process, which is started again whenever it ends."""
 
@@ -124,6 +133,7 @@
         self.process = None
         self.is_wanted = True
         self.unexpected_ends = []
+        self.peak_mb = 0.0
         self._is_end_expected = False
         self._task = None
 
@@ -153,6 +163,7 @@
                 )
                 self.fleet.record.write(f"daemon {self.name} starts")
                 while self.process.poll() is None:
+                    self._check_memory()
                     await asyncio.sleep(0.02)
                 code = self.process.returncode
                 self.fleet.record.write(f"daemon {self.name} ends with {code}")
@@ -160,6 +171,20 @@
                     self.unexpected_ends.append(time.monotonic())
                 await asyncio.sleep(RESTART_PAUSE)
 
+    def _check_memory(self):
+        """Kill the process if it takes more memory than its limit."""
+        limit = self.fleet.memory_mb
+        if not limit:
+            return
+        used = resident_mb(self.process.pid)
+        self.peak_mb = max(self.peak_mb, used)
+        if used > limit:
+            self.fleet.record.write(
+                f"daemon {self.name} takes {used:.0f} MB and is killed"
+            )
+            self.process.kill()
+            self.process.wait()
+
     def send(self, number):
         """Send a signal to the process."""
         if self.process is None or self.process.poll() is not None:
@@ -181,7 +206,13 @@
 
 
 class Fleet:
-    """All parts of a deployment; `places` are pairs of service and zone."""
+    """All parts of a deployment; `places` are pairs of service and zone.
+
+    Attributes
+    ----------
+    memory_mb : int
+        Memory over which the platform kills a daemon; 0 for no limit.
+    """
 
     def __init__(self, folder, record, places, names=None):
         self.folder = folder
@@ -192,6 +223,7 @@
         self.daemons = [Daemon(self, i, name) for i, name in enumerate(names)]
         self.servers = []
         self.sent = []
+        self.memory_mb = 0
         self.network = ""
         self.port = 0
         self._ids = random.Random()
--- a/review/lib3/servers.py
+++ b/review/lib3/servers.py
@@ -23,6 +23,8 @@
         Headers that are added to all answers.
     body : bytes
         Body of all answers; empty for one that names the request.
+    pace : float
+        Bytes of request bodies that are read in a second; 0.0 for no limit.
     """
 
     def __init__(self, name, service, zone, address, control, slots=100):
@@ -39,6 +41,7 @@
         self.work = 0.02
         self.extra = {}
         self.body = b""
+        self.pace = 0.0
         self.runs = []
         self.holds_beats = False
         self.held = []
@@ -115,7 +118,7 @@
         self._writers.add(writer)
         try:
             while True:
-                message = await read_message(reader)
+                message = await read_message(reader, self.pace)
                 if message is None:
                     return
                 await self._answer(writer, *message)
--- a/review/lib3/wire.py
+++ b/review/lib3/wire.py
@@ -4,14 +4,18 @@
 from http import HTTPStatus
 
 MAX_HEAD = 64 * 1024
+SLOW_STEP = 64 * 1024
 
 
 class BrokenMessageError(Exception):
     """A message that ended early or cannot be read."""
 
 
-async def read_message(reader):
-    """Return start line, headers and body of a message; None at the end of input."""
+async def read_message(reader, pace=0.0):
+    """Return start line, headers and body of a message; None at the end of input.
+
+    A body is read at `pace` bytes a second; 0.0 for no limit.
+    """
     try:
         head = await reader.readuntil(b"\r\n\r\n")
     except asyncio.IncompleteReadError as error:
@@ -25,13 +29,13 @@
         if name:
             headers[name.strip().lower()] = value.strip()
     try:
-        body = await _read_body(reader, headers)
+        body = await _read_body(reader, headers, pace)
     except asyncio.IncompleteReadError as error:
         raise BrokenMessageError("body ends early") from error
     return lines[0], headers, body
 
 
-async def _read_body(reader, headers):
+async def _read_body(reader, headers, pace):
     if headers.get("transfer-encoding", "").lower() == "chunked":
         body = b""
         while True:
@@ -41,9 +45,23 @@
             if not size:
                 return body
     length = int(headers.get("content-length", "0"))
+    if pace and length:
+        return await _read_slowly(reader, length, pace)
     return await reader.readexactly(length) if length else b""
 
 
+async def _read_slowly(reader, length, pace):
+    """Read a body at a pace; return as many bytes, without its content."""
+    left = length
+    while left:
+        data = await reader.read(min(left, SLOW_STEP))
+        if not data:
+            raise BrokenMessageError("body ends early")
+        left -= len(data)
+        await asyncio.sleep(len(data) / pace)
+    return bytes(length)
+
+
 def answer_bytes(status, headers=None, body=b""):
     """Encode an answer."""
     lines = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}"]
