Review case 15: answers to clients that read slowly are cut off

Script: 19 clients on kept connections read long answers slowly at one machine; the daemon resets the connections of 9 of them.

--- /dev/null
+++ b/review/15/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exit status: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")" || exit 2
+exec python3 case.py
