Positions in the store's history are eras with revisions; nothing unapplied is confirmed

Cause: a store that comes back gives out its revisions again, from a lower one. States, changes and configurations were compared by the bare revision, so that all that the store held after the drill was dropped as old until the revisions caught up. The read whose result was dropped confirmed the known state all the same, and so did peers with an equal number. Ruled out: the watch itself (410 was handled), the order of versions.

Change: the adapter reads the store's era from each answer, refusals too; a position is the pair of era and revision, in states, changes, frames between daemons (the eras are appended, so that daemons of earlier versions still read them) and watches. An answer with an odd or an older era costs just itself. A read or watch confirms only what is applied. Over a return of the store the highest version stays in force, data centres stay evacuated until the store mentions them, a lease of an older era is neither renewed nor revoked, and registrations are written anew within about two seconds, spread over one. A daemon that starts meanwhile asks peers that have a later version.

--- a/knapweedlead/mesh/_fleet_state.py
+++ b/knapweedlead/mesh/_fleet_state.py
@@ -6,6 +6,7 @@
 import attrs
 
 from knapweedlead.checks import check_address, check_name
+from knapweedlead.positions import StorePosition
 
 
 @attrs.frozen
@@ -38,40 +39,39 @@
 
 @attrs.frozen
 class FleetState:
-    """Configuration, evacuated data centres and members, as of a store revision.
+    """Configuration, evacuated data centres and members, as of a store position.
 
     Parameters
     ----------
-    revision : int
-        Revision of the store up to which all changes are included; 0 if nothing has
-        been read.
+    position : StorePosition
+        Position in the store's history up to which all changes are included.
     configuration : bytes
         The newest configuration, encoded; empty if there is none.
-    configuration_revision : int
-        Revision at which the configuration was written.
+    configuration_position : StorePosition
+        Era in which the configuration was read, and revision at which it was written.
     evacuated : frozenset of str
         Data centres that are out of service.
     member_by_name : dict of str to Member
     """
 
-    revision: int = 0
+    position: StorePosition = StorePosition()
     configuration: bytes = b""
-    configuration_revision: int = 0
+    configuration_position: StorePosition = StorePosition()
     evacuated: frozenset[str] = frozenset()
     member_by_name: dict[str, Member] = attrs.field(factory=dict)
 
 
 @attrs.frozen
 class FleetChange:
-    """Changes between two revisions of the store.
+    """Changes between two positions in the store's history, both of one era.
 
     Parameters
     ----------
-    revision : int
-        Revision up to which the changes are complete.
+    position : StorePosition
+        Position up to which the changes are complete.
     configuration : bytes or None
         The new configuration, encoded; None if it has not changed.
-    configuration_revision : int
+    configuration_position : StorePosition
     evacuated, returned : tuple of str
         Data centres taken out of and returned to service, according to the last
         declaration for each data centre.
@@ -81,9 +81,9 @@
         Names of members whose lease has ended.
     """
 
-    revision: int
+    position: StorePosition
     configuration: bytes | None = None
-    configuration_revision: int = 0
+    configuration_position: StorePosition = StorePosition()
     evacuated: tuple[str, ...] = ()
     returned: tuple[str, ...] = ()
     joined: tuple[Member, ...] = ()
@@ -96,14 +96,14 @@
     member_by_name |= {member.name: member for member in change.joined}
     evacuated = state.evacuated - frozenset(change.returned)
     configuration = state.configuration
-    configuration_revision = state.configuration_revision
+    configuration_position = state.configuration_position
     if change.configuration is not None:
         configuration = change.configuration
-        configuration_revision = change.configuration_revision
+        configuration_position = change.configuration_position
     return FleetState(
-        revision=max(state.revision, change.revision),
+        position=max(state.position, change.position),
         configuration=configuration,
-        configuration_revision=configuration_revision,
+        configuration_position=configuration_position,
         evacuated=evacuated | frozenset(change.evacuated),
         member_by_name=member_by_name,
     )
--- a/knapweedlead/mesh/_store.py
+++ b/knapweedlead/mesh/_store.py
@@ -16,7 +16,18 @@
 
 @attrs.frozen
 class LeaseGrant:
-    """Lease granted by the store, and its duration in seconds."""
+    """Lease granted by the store.
+
+    Parameters
+    ----------
+    lease : int
+        Number that identifies the lease within its era.
+    duration : float
+        Seconds.
+    era : int
+        Era of the store in which the lease was granted.
+    """
 
     lease: int
     duration: float
+    era: int
--- a/knapweedlead/platform/_keys.py
+++ b/knapweedlead/platform/_keys.py
@@ -8,6 +8,7 @@
 
 from knapweedlead.checks import check_count, check_name
 from knapweedlead.mesh import FleetChange, Member, checked_member
+from knapweedlead.positions import StorePosition
 
 CONFIGURATION_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
@@ -17,7 +18,9 @@
 """Document without a version, in place of a configuration that is not base64."""
 
 
-def decode_changes(entries: list[dict[str, Any]], revision: int) -> FleetChange:
+def decode_changes(
+    entries: list[dict[str, Any]], position: StorePosition
+) -> FleetChange:
     """Decode store items, or events in the order of their revisions.
 
     Keys of other writers, invalid members and data centres without a proper name are
@@ -27,11 +30,11 @@
     ----------
     entries : list of dict
         Items or events as the store returns them.
-    revision : int
-        Revision up to which the changes are complete.
+    position : StorePosition
+        Position up to which the changes are complete.
     """
     configuration: bytes | None = None
-    configuration_revision = 0
+    configuration_position = StorePosition()
     evacuated: dict[str, bool] = {}
     members: dict[str, Member | None] = {}
     for entry in entries:
@@ -43,7 +46,7 @@
             # A value that is no text becomes a document that cannot be decoded, so
             # that the configuration counts as changed.
             configuration = _decode_value(entry.get("value")) or UNDECODABLE
-            configuration_revision = _decode_revision(entry, revision)
+            configuration_position = _decode_position(entry, position)
         elif key.startswith(EVACUATION_PREFIX):
             data_centre = key.removeprefix(EVACUATION_PREFIX)
             if _is_name(data_centre):
@@ -54,9 +57,9 @@
             if _is_name(name):
                 members[name] = None if is_deleted else _decode_member(name, value)
     return FleetChange(
-        revision=revision,
+        position=position,
         configuration=configuration,
-        configuration_revision=configuration_revision,
+        configuration_position=configuration_position,
         evacuated=tuple(
             zone for zone, is_evacuated in evacuated.items() if is_evacuated
         ),
@@ -76,10 +79,10 @@
         return b""
 
 
-def _decode_revision(entry: dict[str, Any], latest: int) -> int:
-    """Return the revision of an entry; the latest one if it cannot be read."""
+def _decode_position(entry: dict[str, Any], latest: StorePosition) -> StorePosition:
+    """Return the position of an entry; the latest one if it cannot be read."""
     try:
-        return check_count(entry.get("revision"))
+        return StorePosition(latest.era, check_count(entry.get("revision")))
     except ValueError:
         return latest
 
--- a/knapweedlead/platform/_store.py
+++ b/knapweedlead/platform/_store.py
@@ -23,10 +23,12 @@
     apply_change,
 )
 from knapweedlead.platform._keys import decode_changes, encode_member
+from knapweedlead.positions import EraTracker, StorePosition
 
 WATCH_MARGIN = 1.0
 """Minimum seconds allowed for the answer to a watch beyond the requested wait."""
 MAX_CONNECTIONS = 8
+ERA_HEADER = "store-era"
 
 _MS_PER_S = 1000.0
 _OK = 200
@@ -40,16 +42,25 @@
 _Decoded = TypeVar("_Decoded")
 
 
+@attrs.frozen
+class _Reply:
+    document: Any
+    era: int
+
+
 @attrs.frozen
 class _Page:
     entries: list[dict[str, Any]]
-    revision: int
+    position: StorePosition
     next_after: str
 
 
 class PlatformStore:
     """Typed calls to the store, each reported with its purpose and outcome.
 
+    An answer with an era that cannot be read, or of an older era than an earlier
+    answer, is an error whose outcome is unknown.
+
     Parameters
     ----------
     address : str
@@ -70,6 +81,7 @@
         self.address = address
         self.timeout = timeout
         self.on_call = on_call
+        self._eras = EraTracker()
         self._runs = itertools.count(1)
         self._future_by_run: dict[int, asyncio.Future[Any]] = {}
         self._client = BackendServerClient(
@@ -77,9 +89,9 @@
         )
 
     async def read_state(self) -> Result[FleetState, StoreError]:
-        """Read the whole state of the fleet, page by page."""
+        """Read the whole state of the fleet, page by page, within one era."""
         entries: list[dict[str, Any]] = []
-        revision = 0
+        position: StorePosition | None = None
         after = ""
         while True:
             query = {"prefix": ""} | ({"after": after} if after else {})
@@ -90,37 +102,51 @@
             if isinstance(result, Err):
                 return result
             decoded = self._interpret(
-                "store.kv-range", result.ok_value, partial(_decode_page, after=after)
+                "store.kv-range",
+                result.ok_value,
+                partial(_page_of, after=after),
             )
             if isinstance(decoded, Err):
                 return decoded
             page = decoded.ok_value
             entries += page.entries
-            # The pages do not form one snapshot, so the state gets the revision of the
-            # first page: a watch from that revision misses no change.
-            revision = revision or page.revision
+            # The pages do not form one snapshot, so the state gets the position of the
+            # first page: a watch from that position misses no change.
+            position = position or page.position
+            if position.era != page.position.era:
+                return Err(self._era_change("store.kv-range", position.era))
             if not page.next_after:
-                return Ok(apply_change(FleetState(), decode_changes(entries, revision)))
+                return Ok(apply_change(FleetState(), decode_changes(entries, position)))
             after = page.next_after
 
     async def watch_state(
-        self, after: int, wait: float
+        self, after: StorePosition, wait: float
     ) -> Result[FleetChange, StoreError]:
-        """Return the changes after a revision; wait for them up to `wait` seconds."""
+        """Return the changes after a position; wait for them up to `wait` seconds.
+
+        The fault is ``COMPACTED`` if the store is in another era, whose revisions are
+        not those of `after`.
+        """
         wait_ms = int(wait * _MS_PER_S)
-        query = urlencode({"prefix": "", "after": after, "waitMs": wait_ms})
+        query = urlencode({"prefix": "", "after": after.revision, "waitMs": wait_ms})
         timeout = wait + max(WATCH_MARGIN, self.timeout)
         result = await self._call(
             "GET", f"/-/kv-watch?{query}", None, StorePurpose.WATCH, timeout
         )
         if isinstance(result, Err):
             return result
+        if result.ok_value.era != after.era:
+            return Err(self._era_change("store.kv-watch", after.era))
         return self._interpret(
             "store.kv-watch",
             result.ok_value,
-            lambda page: decode_changes(page["events"], check_count(page["at"])),
+            lambda reply: decode_changes(reply.document["events"], _position_of(reply)),
         )
 
+    def _era_change(self, step: str, before: int) -> StoreError:
+        detail = f"expected era {before}, got {self._eras.latest}"
+        return StoreError(step, self.address, detail, StoreFault.COMPACTED)
+
     async def grant_lease(self, duration: float) -> Result[LeaseGrant, StoreError]:
         """Create a lease of `duration` seconds."""
         body = {"ttlMs": int(duration * _MS_PER_S)}
@@ -132,17 +158,23 @@
         return self._interpret(
             "store.kv-lease",
             result.ok_value,
-            lambda answer: LeaseGrant(
-                check_count(answer["lease"]), check_amount(answer["ttlMs"]) / _MS_PER_S
+            lambda reply: LeaseGrant(
+                check_count(reply.document["lease"]),
+                check_amount(reply.document["ttlMs"]) / _MS_PER_S,
+                reply.era,
             ),
         )
 
-    async def renew_lease(self, lease: int) -> Result[None, StoreError]:
-        """Renew a lease; the fault for an expired lease is ``CONFLICT``."""
+    async def renew_lease(self, lease: int) -> Result[int, StoreError]:
+        """Renew a lease and return the store's era.
+
+        The fault for an expired lease is ``CONFLICT``. In a later era than that of
+        the grant, the number may be that of another daemon's lease.
+        """
         result = await self._call(
             "POST", f"/-/kv-keep/{lease}", None, StorePurpose.RENEWAL, self.timeout
         )
-        return result if isinstance(result, Err) else Ok(None)
+        return result.map(lambda reply: reply.era)
 
     async def revoke_lease(self, lease: int) -> Result[None, StoreError]:
         """Revoke a lease, which deletes its keys."""
@@ -152,13 +184,13 @@
         )
         return result if isinstance(result, Err) else Ok(None)
 
-    async def register(self, member: Member, lease: int) -> Result[None, StoreError]:
-        """Register a member for as long as a lease lasts."""
+    async def register(self, member: Member, lease: int) -> Result[int, StoreError]:
+        """Register a member for as long as a lease lasts; return the store's era."""
         body = {"expect": [], "puts": [encode_member(member, lease)], "remove": []}
         result = await self._call(
             "POST", "/-/kv-txn", body, StorePurpose.REGISTRATION, self.timeout
         )
-        return result if isinstance(result, Err) else Ok(None)
+        return result.map(lambda reply: reply.era)
 
     def set_address(self, address: str) -> None:
         """Set the address of further calls; a change closes all connections."""
@@ -177,7 +209,7 @@
         body: Any,
         purpose: StorePurpose,
         timeout: float,
-    ) -> Result[Any, StoreError]:
+    ) -> Result[_Reply, StoreError]:
         loop = asyncio.get_running_loop()
         run = next(self._runs)
         future = loop.create_future()
@@ -196,11 +228,11 @@
         return result
 
     def _interpret(
-        self, step: str, answer: Any, decode: Callable[[Any], _Decoded]
+        self, step: str, reply: _Reply, decode: Callable[[_Reply], _Decoded]
     ) -> Result[_Decoded, StoreError]:
-        """Return the decoded answer; an error if it has another form than expected."""
+        """Return the decoded reply; an error if it has another form than expected."""
         try:
-            return Ok(decode(answer))
+            return Ok(decode(reply))
         except _DECODE_ERRORS as error:
             detail = f"bad answer: {type(error).__name__}: {error}"
             fault = StoreFault.UNKNOWN_OUTCOME
@@ -218,22 +250,36 @@
         if future is not None and not future.done():
             future.set_result(outcome)
 
-    def _decode(self, path: str, answer: Any) -> Result[Any, StoreError]:
+    def _decode(self, path: str, answer: Any) -> Result[_Reply, StoreError]:
         if isinstance(answer, StoreError):
             return Err(answer)
+        step = "store." + path[3:].partition("?")[0].partition("/")[0]
+        try:
+            era = self._eras.observe(answer.headers.get(ERA_HEADER))
+        except ValueError as error:
+            fault = StoreFault.UNKNOWN_OUTCOME
+            return Err(StoreError(step, self.address, f"bad era: {error}", fault))
         if answer.status == _OK:
             try:
-                return Ok(json.loads(answer.body) if answer.body else {})
+                document = json.loads(answer.body) if answer.body else {}
+                return Ok(_Reply(document, era))
             except (ValueError, RecursionError) as error:
                 fault, detail = StoreFault.UNKNOWN_OUTCOME, f"bad answer: {error}"
         else:
             fault = _FAULT_BY_STATUS.get(answer.status, StoreFault.UNAVAILABLE)
             detail = f"status {answer.status}"
-        step = "store." + path[3:].partition("?")[0].partition("/")[0]
         return Err(StoreError(step, self.address, detail, fault))
 
 
-def _decode_page(page: dict[str, Any], after: str) -> _Page:
+def _position_of(reply: _Reply) -> StorePosition:
+    return StorePosition(reply.era, check_count(reply.document["at"]))
+
+
+def _page_of(reply: _Reply, after: str) -> _Page:
+    return _decode_page(reply.document, after, reply.era)
+
+
+def _decode_page(page: dict[str, Any], after: str, era: int) -> _Page:
     """Decode a page of items; the next one begins after its last key.
 
     Raises
@@ -247,7 +293,8 @@
     has_more = bool(page["hasMore"])
     if has_more and last in ("", after):
         raise ValueError(f"expected items after {describe(after)}, got none")
-    return _Page(entries, check_count(page["at"]), last if has_more else "")
+    position = StorePosition(era, check_count(page["at"]))
+    return _Page(entries, position, last if has_more else "")
 
 
 _FAULT_BY_STATUS = {
--- a/knapweedlead/platform/tests/standin_store.py
+++ b/knapweedlead/platform/tests/standin_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import copy
 import json
 from urllib.parse import parse_qs, urlsplit
 
@@ -34,12 +35,15 @@
     fault : str
         Empty, ``"busy"`` (status 503), ``"many"`` (status 429), ``"silent"`` (neither
         executed nor answered) or ``"lost"`` (writes are executed, but not answered).
+    era : int or str or None
+        Value of the header that states the era; None for a store without eras.
     """
 
     def __init__(self):
         self.fault = ""
         self.malformed_answer = b"[]"
         self.calls = []
+        self.era = 1
         self.revision = 10
         self.oldest = 0
         self.item_by_key = {}
@@ -74,6 +78,25 @@
             self.revision += 1
             self._append_event({"key": key, "revision": self.revision, "deleted": True})
 
+    def copy(self):
+        """Return a copy of all that the store holds."""
+        return copy.deepcopy(
+            (self.revision, self.item_by_key, self.events, self.end_by_lease)
+        )
+
+    def restore(self, saved, next_lease=None):
+        """Come back from a copy; lease numbers are given out again from `next_lease`.
+
+        Leases of the copy run on; watches are answered with status 410.
+        """
+        saved = copy.deepcopy(saved)
+        self.revision, self.item_by_key, self.events, self.end_by_lease = saved
+        if next_lease is not None:
+            self._leases = next_lease
+        if self.era is not None:
+            self.era += 1
+        self._notify_watchers()
+
     def compact(self):
         """Compact the whole history; older watches get status 410."""
         self.events.clear()
@@ -114,16 +137,21 @@
             return
         if self.fault in ("busy", "many"):
             status = 503 if self.fault == "busy" else 429
-            self.server.reply(request.exchange, status, {}, b"")
+            self.server.reply(request.exchange, status, self._headers(), b"")
             return
         if self.fault == "malformed":
-            self.server.reply(request.exchange, 200, {}, self.malformed_answer)
+            headers = self._headers()
+            self.server.reply(request.exchange, 200, headers, self.malformed_answer)
             return
         self._expire()
         status, document = await self._handle(request)
         if self.fault == "lost" and request.method != "GET":
             return
-        self.server.reply(request.exchange, status, {}, json.dumps(document).encode())
+        body = json.dumps(document).encode()
+        self.server.reply(request.exchange, status, self._headers(), body)
+
+    def _headers(self):
+        return {} if self.era is None else {"store-era": str(self.era)}
 
     async def _handle(self, request):
         parts = urlsplit(request.path)
@@ -151,8 +179,9 @@
         prefix = query.get("prefix", "")
         loop = asyncio.get_running_loop()
         end = loop.time() + int(query["waitMs"]) / 1000.0
+        era = self.era
         while True:
-            if after < self.oldest:
+            if after < self.oldest or after > self.revision or era != self.era:
                 return 410, {}
             events = [
                 event
@@ -161,7 +190,7 @@
             ]
             left = end - loop.time()
             if events or left <= 0:
-                return 200, {"events": events, "at": max(after, self.revision)}
+                return 200, {"events": events, "at": self.revision}
             try:
                 await asyncio.wait_for(self._changed.wait(), left)
             except TimeoutError:
--- a/knapweedlead/platform/tests/test_decoders.py
+++ b/knapweedlead/platform/tests/test_decoders.py
@@ -20,6 +20,7 @@
 )
 from knapweedlead.platform._keys import decode_changes, encode_member
 from knapweedlead.platform.tests.fleets import CONFIGURATION
+from knapweedlead.positions import StorePosition
 
 json_values = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
@@ -117,7 +118,9 @@
     misnamed = {"key": "members/b", "value": valid["value"], "revision": 4}
     malformed = {"key": "members/c", "value": base64.b64encode(b"[]"), "revision": 5}
     other_key = {"key": "other/d", "value": "", "revision": 6}
-    change = decode_changes([valid, misnamed, malformed, other_key], 6)
+    change = decode_changes(
+        [valid, misnamed, malformed, other_key], StorePosition(1, 6)
+    )
     state = apply_change(FleetState(), change)
     assert state.member_by_name == {"a": member}
 
@@ -125,13 +128,17 @@
 def test_state_follows_changes_and_revision_never_decreases():
     state = apply_change(
         FleetState(),
-        decode_changes([{"key": "op/evacuate/z", "value": "", "revision": 4}], 4),
+        decode_changes(
+            [{"key": "op/evacuate/z", "value": "", "revision": 4}], StorePosition(1, 4)
+        ),
     )
     assert state.evacuated == frozenset({"z"})
     event = {"key": "op/evacuate/z", "revision": 5, "deleted": True}
-    state = apply_change(state, decode_changes([event], 5))
-    assert (state.evacuated, state.revision) == (frozenset(), 5)
-    assert apply_change(state, decode_changes([], 3)).revision == 5
+    state = apply_change(state, decode_changes([event], StorePosition(1, 5)))
+    assert (state.evacuated, state.position) == (frozenset(), StorePosition(1, 5))
+    assert apply_change(state, decode_changes([], StorePosition(1, 3))).position == (
+        StorePosition(1, 5)
+    )
 
 
 def test_invalid_boot_file_error_names_the_expected_content(tmp_path):
@@ -349,7 +356,7 @@
     entry = encode_member(member, 7) | {"revision": 3}
     document = newer(json.loads(base64.b64decode(entry["value"])))
     entry["value"] = base64.b64encode(json.dumps(document).encode()).decode()
-    assert decode_changes([entry], 3).joined == (member,)
+    assert decode_changes([entry], StorePosition(1, 3)).joined == (member,)
 
 
 @given(json_values)
@@ -358,7 +365,7 @@
     valid = encode_member(member, 7) | {"revision": 3}
     entries = [value, {"key": value}, {"key": "members/b", "value": value}]
     entries.append({"key": "op/config", "value": value, "revision": 5})
-    change = decode_changes([*entries, valid], 6)
+    change = decode_changes([*entries, valid], StorePosition(1, 6))
     assert change.joined == (member,)
 
 
--- a/knapweedlead/platform/tests/test_odd_entries.py
+++ b/knapweedlead/platform/tests/test_odd_entries.py
@@ -17,6 +17,7 @@
 from knapweedlead.platform._keys import decode_changes, encode_member
 from knapweedlead.platform.tests.fleets import CONFIGURATION, Fleet
 from knapweedlead.platform.tests.standin_server import request
+from knapweedlead.positions import StorePosition
 from knapweedlead.sidecar._wire import FrameKind
 
 DEPTH = 100_000
@@ -123,7 +124,7 @@
         "revision": 5,
     }
     valid = encode_member(attrs.evolve(MEMBER, name="valid"), 7) | {"revision": 6}
-    change = decode_changes([entry, valid], 6)
+    change = decode_changes([entry, valid], StorePosition(1, 6))
     assert [member.name for member in change.joined] == ["valid"]
 
 
--- a/knapweedlead/platform/tests/test_store_answers.py
+++ b/knapweedlead/platform/tests/test_store_answers.py
@@ -54,14 +54,14 @@
     for items in ([], [7], [{"key": 7}], [ITEM]):
         page = {"items": items, "hasMore": True, "at": 9}
         with pytest.raises(ValueError, match="expected items after"):
-            _decode_page(page, "members/a")
+            _decode_page(page, "members/a", 1)
     page = {"items": [], "hasMore": False, "at": 9}
-    assert _decode_page(page, "members/a").next_after == ""
+    assert _decode_page(page, "members/a", 1).next_after == ""
 
 
 def test_next_page_begins_after_the_last_key_that_can_be_read():
     page = {"items": [ITEM, 7, {"key": None}], "hasMore": True, "at": 9}
-    assert _decode_page(page, "").next_after == "members/a"
+    assert _decode_page(page, "", 1).next_after == "members/a"
 
 
 async def test_key_that_cannot_be_encoded_does_not_end_the_reading_of_pages():
--- /dev/null
+++ b/knapweedlead/positions/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the positions package."""
--- a/knapweedlead/sidecar/_fleet_tracker.py
+++ b/knapweedlead/sidecar/_fleet_tracker.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable
 
+import attrs
 from result import Err
 
 from knapweedlead.mesh import (
@@ -19,6 +20,7 @@
     apply_change,
 )
 from knapweedlead.platform import decode_configuration
+from knapweedlead.positions import StorePosition
 from knapweedlead.sidecar._links import Links
 from knapweedlead.sidecar._listeners import CallerListener
 from knapweedlead.sidecar._recorder import MeshRecorder
@@ -33,12 +35,18 @@
 """Undecodable entries of one configuration that are logged."""
 UNCONFIRMED_LEAD = -1e6
 """Lead, in seconds, that is sent for a configuration that was never confirmed."""
+RESTORE_GRACE = 5.0
+"""Seconds after the store has come back from a copy in which evacuations that the copy
+lacks are kept even if the whole state is read again; their writers restore them."""
 
 
 class FleetTracker:
     """Applies the operators' configuration, evacuations and the list of members.
 
-    These are received from the store or from a peer; the newest revision is applied.
+    These are received from the store or from a peer; the latest position is applied.
+    A store that comes back from a copy withdraws nothing by that: the configuration
+    with the highest version stays in force, and data centres stay evacuated until the
+    store mentions them again.
 
     Parameters
     ----------
@@ -83,6 +91,8 @@
         self.roster = Roster()
         self.relay_choice = RelayChoice(local_member.name)
         self._request_pending_until = -math.inf
+        self._kept_evacuations: frozenset[str] = frozenset()
+        self._era_began_at = -math.inf
         self._is_reachable_by_step: dict[str, bool] = {}
 
     @property
@@ -93,7 +103,10 @@
     # Updates from the store and from peers.
 
     def apply_state(self, state: FleetState, source: str) -> None:
-        """Apply a state of the fleet if it is newer than the known state.
+        """Apply a whole state of the fleet if it is newer than the known state.
+
+        Of a state that is not newer, only a configuration with a higher version is
+        applied: its sender may know one that the store has lost.
 
         Parameters
         ----------
@@ -103,49 +116,120 @@
         """
         self._request_pending_until = -math.inf
         known = self.state
-        if state.revision <= known.revision:
+        if state.position <= known.position:
+            self._adopt_configuration(state, source)
             return
         now = self.clock()
-        self.state = state
-        if state.configuration_revision > known.configuration_revision:
-            self._apply_configuration(state, source)
-        configuration = self.entry.configuration
-        if configuration is not None:
-            self.guard.apply_configuration(configuration, state.evacuated, now)
-        if state.evacuated != known.evacuated:
-            names = ",".join(sorted(state.evacuated))
+        if known.position.revision and state.position.era > known.position.era:
+            self._begin_era(state, source, now)
+        kept: frozenset[str] = frozenset()
+        if state.position.era > known.position.era:
+            kept = self._evacuated - state.evacuated
+        elif now - self._era_began_at <= RESTORE_GRACE:
+            kept = self._kept_evacuations - state.evacuated
+        self._apply_newer(state, kept, source, now)
+
+    def _begin_era(self, state: FleetState, source: str, now: float) -> None:
+        """Record that the store has come back from a copy."""
+        before, after = self.state.position, state.position
+        self._era_began_at = now
+        self.recorder.count("store.eras")
+        self.recorder.log(
+            "store_restored",
+            era=after.era,
+            era_before=before.era,
+            revision=after.revision,
+            revision_before=before.revision,
+            kept_data_centres=",".join(sorted(self._evacuated - state.evacuated)),
+            unlisted_members=len(
+                self.state.member_by_name.keys() - state.member_by_name.keys()
+            ),
+            source=source,
+        )
+
+    def _adopt_configuration(self, state: FleetState, source: str) -> None:
+        """Apply the configuration of a state that is not newer, if its version is."""
+        if not state.configuration:
+            return
+        if state.configuration_position == self.state.configuration_position:
+            return
+        configuration = decode_configuration(state.configuration)
+        if isinstance(configuration, Err) or not self._is_newer(configuration.ok_value):
+            return
+        self._put_in_force(configuration.ok_value, state, source)
+        self.state = attrs.evolve(
+            self.state,
+            configuration=state.configuration,
+            configuration_position=state.configuration_position,
+        )
+        self._inform_guard(self.clock())
+
+    def _apply_newer(
+        self, state: FleetState, kept: frozenset[str], source: str, now: float
+    ) -> None:
+        known, evacuated_before = self.state, self._evacuated
+        self.state, self._kept_evacuations = state, kept
+        if state.configuration_position != known.configuration_position:
+            self._apply_configuration(known, source)
+        self._inform_guard(now)
+        if self._evacuated != evacuated_before:
+            names = ",".join(sorted(self._evacuated))
             self.recorder.log(
-                "evacuated", data_centres=names, revision=state.revision, source=source
+                "evacuated",
+                data_centres=names,
+                revision=state.position.revision,
+                source=source,
             )
         if state.member_by_name != known.member_by_name:
             self._apply_members(state.member_by_name, source, now)
 
-    def apply_store_change(self, base: int, change: FleetChange) -> None:
+    @property
+    def _evacuated(self) -> frozenset[str]:
+        """Data centres out of service, by the store's state or kept over its return."""
+        return self.state.evacuated | self._kept_evacuations
+
+    def _inform_guard(self, now: float) -> None:
+        configuration = self.entry.configuration
+        if configuration is not None:
+            self.guard.apply_configuration(configuration, self._evacuated, now)
+
+    def apply_store_change(self, base: StorePosition, change: FleetChange) -> None:
         """Apply changes read from the store after `base`, and broadcast them."""
-        if change.revision <= self.state.revision:
+        if change.position <= self.state.position:
             return
-        self.apply_state(apply_change(self.state, change), STORE_SOURCE)
+        if change.position.era != self.state.position.era:
+            return
+        self._apply_change(change, STORE_SOURCE)
         self.links.broadcast(change_frame(base, change))
 
-    def apply_peer_change(self, base: int, change: FleetChange, source: str) -> bool:
+    def _apply_change(self, change: FleetChange, source: str) -> None:
+        self._request_pending_until = -math.inf
+        mentioned = frozenset((*change.evacuated, *change.returned))
+        kept = self._kept_evacuations - mentioned
+        state = apply_change(self.state, change)
+        self._apply_newer(state, kept, source, self.clock())
+
+    def apply_peer_change(
+        self, base: StorePosition, change: FleetChange, source: str
+    ) -> bool:
         """Apply changes sent by a peer; return whether to request its whole state.
 
         Parameters
         ----------
-        base : int
-            Revision after which the changes are complete.
+        base : StorePosition
+            Position after which the changes are complete.
         change : FleetChange
             Never contains the configuration itself, even if the configuration changed.
         source : str
             Name of the peer.
         """
         known = self.state
-        if change.revision <= known.revision:
+        if change.position <= known.position:
             return False
-        has_gap = known.revision < base
-        if has_gap or change.configuration_revision > known.configuration_revision:
+        has_gap = known.position < base or change.position.era != known.position.era
+        if has_gap or change.configuration_position > known.configuration_position:
             return self._may_request_state()
-        self.apply_state(apply_change(known, change), source)
+        self._apply_change(change, source)
         return False
 
     def _may_request_state(self) -> bool:
@@ -156,8 +240,12 @@
         self._request_pending_until = now + STATE_REQUEST_TIMEOUT
         return True
 
-    def _apply_configuration(self, state: FleetState, source: str) -> None:
-        decoded = decode_configuration(state.configuration)
+    def _apply_configuration(self, known: FleetState, source: str) -> None:
+        """Put the configuration of the state in force unless its version is older."""
+        if not self.state.configuration:
+            self._keep_configuration(known)
+            return
+        decoded = decode_configuration(self.state.configuration)
         if isinstance(decoded, Err):
             self._record_unreadable()
             self.recorder.bad_input("configuration", str(decoded.err_value))
@@ -167,15 +255,34 @@
         for problem in configuration.problems[:MAX_LOGGED_PROBLEMS]:
             self.recorder.bad_input("configuration_entry", problem)
         current = self.entry.configuration
-        if current is not None and configuration.version <= current.version:
-            return
-        self._record_accounts(current, configuration)
+        if self._is_newer(configuration):
+            self._put_in_force(configuration, self.state, source)
+        elif current is not None and configuration.version < current.version:
+            self._keep_configuration(known)
+
+    def _keep_configuration(self, known: FleetState) -> None:
+        """Keep the known configuration in the state, so that peers get it."""
+        self.state = attrs.evolve(
+            self.state,
+            configuration=known.configuration,
+            configuration_position=known.configuration_position,
+        )
+
+    def _is_newer(self, configuration: MeshConfiguration) -> bool:
+        current = self.entry.configuration
+        return current is None or configuration.version > current.version
+
+    def _put_in_force(
+        self, configuration: MeshConfiguration, state: FleetState, source: str
+    ) -> None:
+        self._record_accounts(self.entry.configuration, configuration)
         self.entry.configuration = configuration
         self.caller_listener.set_limits(configuration.limits)
         self.recorder.log(
             "configuration",
             version=configuration.version,
-            revision=state.revision,
+            revision=state.position.revision,
+            era=state.position.era,
             source=source,
             routes=len(configuration.routes),
             accounts=len(configuration.account_by_name),
@@ -231,9 +338,14 @@
         is_known = self.freshness.confirmed_at > registered_at
         return is_known and listed != self.local_member
 
-    def confirm(self, requested_at: float) -> None:
-        """Record that the known state was the newest in the store at `requested_at`."""
-        self.freshness.confirm(requested_at)
+    def confirm(self, requested_at: float, position: StorePosition) -> None:
+        """Record that the store's newest position at `requested_at` was `position`.
+
+        This confirms the known state only if it includes that position.
+        """
+        known = self.state.position
+        if known.era == position.era and known >= position:
+            self.freshness.confirm(requested_at)
 
     def peer_state(self, requested_at: float, received_at: float) -> PeerState:
         """Return the state to send to a peer.
@@ -246,17 +358,27 @@
             Time at which the probe arrived, by the clock of this daemon.
         """
         lead = max(self.freshness.confirmed_at - received_at, UNCONFIRMED_LEAD)
-        server = self.guard.state(self.clock())
         return PeerState(
-            requested_at, lead, self.state.revision, self.is_watching, server
+            requested_at,
+            lead,
+            self.state.position,
+            self.is_watching,
+            self.guard.state(self.clock()),
+            self._version,
         )
 
+    @property
+    def _version(self) -> int:
+        """Version of the configuration in force; 0 if there is none."""
+        configuration = self.entry.configuration
+        return 0 if configuration is None else configuration.version
+
     def handle_peer_state(self, state: PeerState) -> bool:
         """Apply a peer's state; return whether to request its newer fleet state."""
-        revision = self.state.revision
-        if state.revision > revision:
+        position = self.state.position
+        if state.position > position or state.configuration_version > self._version:
             return self._may_request_state()
-        if state.revision == revision and state.requested_at > 0.0:
+        if state.position == position and state.requested_at > 0.0:
             self.freshness.confirm_by_peer(state.requested_at, state.lead)
         return False
 
--- a/knapweedlead/sidecar/_frame_decoders.py
+++ b/knapweedlead/sidecar/_frame_decoders.py
@@ -42,6 +42,7 @@
     Ticket,
     checked_member,
 )
+from knapweedlead.positions import MAX_ERA, StorePosition
 from knapweedlead.sidecar._wire import FrameKind, PeerState
 
 MAX_CONFIGURATION_BYTES = 16 * 1024 * 1024
@@ -185,15 +186,27 @@
 def decode_peer_state(frame: list[Any]) -> PeerState:
     """Return the state in a frame; fields of later versions are ignored."""
     requested_at, lead, revision, is_watching = frame[1:5]
+    era, version = _appended(frame, 5 + _SERVER_FIELDS, 2)
     return PeerState(
         check_number(requested_at),
         check_number(lead),
-        check_count(revision),
+        _position(era, revision),
         check_flag(is_watching),
         _checked_server_state(*frame[5 : 5 + _SERVER_FIELDS]),
+        check_count(version),
     )
 
 
+def _appended(frame: list[Any], start: int, count: int) -> list[Any]:
+    """Return appended fields of a frame; 0 for those that an earlier version lacks."""
+    fields = frame[start : start + count]
+    return fields + [0] * (count - len(fields))
+
+
+def _position(era: Any, revision: Any) -> StorePosition:
+    return StorePosition(check_count(era, MAX_ERA), check_count(revision))
+
+
 def _checked_server_state(*fields: Any) -> ServerState:
     """Return the state of a server; the last fields may be missing."""
     server = ServerState(*fields)
@@ -216,21 +229,24 @@
 def decode_fleet_state(frame: list[Any], known: FleetState) -> FleetState | None:
     """Return the fleet state in a frame; None if it is older than the known state.
 
-    The configuration is copied from `known` if `known` has the same revision of the
+    The configuration is copied from `known` if `known` has the same position of the
     configuration; the frame may then leave the configuration out. A frame without the
     configuration is outdated if a newer one has become known since it was requested.
     Members that cannot be decoded are left out.
     """
     revision, configuration_revision, compressed, evacuated, rows = frame[1:6]
+    era, configuration_era = _appended(frame, 6, 2)
+    position = _position(era, revision)
+    configuration_position = _position(configuration_era, configuration_revision)
     configuration = known.configuration
-    if configuration_revision != known.configuration_revision:
-        if not compressed and check_count(revision) < known.revision:
+    if configuration_position != known.configuration_position:
+        if not compressed and position < known.position:
             return None
         configuration = _decompressed(compressed)
     return FleetState(
-        revision=check_count(revision),
+        position=position,
         configuration=configuration,
-        configuration_revision=check_count(configuration_revision),
+        configuration_position=configuration_position,
         evacuated=frozenset(map(check_name, check_list(evacuated))),
         member_by_name={member.name: member for member in _decode_members(rows)},
     )
@@ -258,21 +274,22 @@
 
 
 @decodes(FrameKind.FLEET_CHANGE)
-def decode_change(frame: list[Any]) -> tuple[int, FleetChange]:
-    """Return the base revision of the changes in a frame, and the changes.
+def decode_change(frame: list[Any]) -> tuple[StorePosition, FleetChange]:
+    """Return the base position of the changes in a frame, and the changes.
 
     Members that cannot be decoded are left out.
     """
     base, revision, configuration_revision, evacuated, returned, rows, left = frame[1:8]
+    base_era, era, configuration_era = _appended(frame, 8, 3)
     change = FleetChange(
-        revision=check_count(revision),
-        configuration_revision=check_count(configuration_revision),
+        position=_position(era, revision),
+        configuration_position=_position(configuration_era, configuration_revision),
         evacuated=tuple(map(check_name, check_list(evacuated))),
         returned=tuple(map(check_name, check_list(returned))),
         joined=tuple(_decode_members(rows)),
         left=tuple(map(check_name, check_list(left))),
     )
-    return check_count(base), change
+    return _position(base_era, base), change
 
 
 @decodes(FrameKind.DEMAND_REPORT)
@@ -308,9 +325,10 @@
 
 
 @decodes(FrameKind.FLEET_STATE_REQUEST)
-def decode_state_request(frame: list[Any]) -> int:
-    """Return the revision of the configuration that the sender knows."""
-    return check_count(frame[1])
+def decode_state_request(frame: list[Any]) -> StorePosition:
+    """Return the position of the configuration that the sender knows."""
+    (era,) = _appended(frame, 2, 1)
+    return _position(era, frame[1])
 
 
 @decodes(FrameKind.TOKEN_REQUEST)
--- a/knapweedlead/sidecar/_link_host.py
+++ b/knapweedlead/sidecar/_link_host.py
@@ -15,6 +15,7 @@
     RequestQuarantine,
     Ticket,
 )
+from knapweedlead.positions import StorePosition
 from knapweedlead.sidecar._traffic import LinkTraffic
 from knapweedlead.sidecar._wire import PeerState
 
@@ -31,7 +32,9 @@
     def handle_peer_state(self, state: PeerState) -> bool:
         """Apply a peer's state; return whether to request its newer fleet state."""
 
-    def apply_peer_change(self, base: int, change: FleetChange, source: str) -> bool:
+    def apply_peer_change(
+        self, base: StorePosition, change: FleetChange, source: str
+    ) -> bool:
         """Apply changes sent by a peer; return whether to request its whole state."""
 
     def apply_state(self, state: FleetState, source: str) -> None:
--- a/knapweedlead/sidecar/_outgoing_link.py
+++ b/knapweedlead/sidecar/_outgoing_link.py
@@ -242,8 +242,9 @@
 
     def _request_fleet_state(self) -> None:
         assert self.connection is not None
-        known = self.host.fleet.state.configuration_revision
-        self.connection.send([FrameKind.FLEET_STATE_REQUEST.value, known])
+        known = self.host.fleet.state.configuration_position
+        kind = FrameKind.FLEET_STATE_REQUEST.value
+        self.connection.send([kind, known.revision, known.era])
 
     def request_tokens(self, account: str, wanted: int, is_important: bool) -> None:
         """Request tokens of an account from the peer."""
--- a/knapweedlead/sidecar/_store_sync.py
+++ b/knapweedlead/sidecar/_store_sync.py
@@ -12,6 +12,7 @@
 from knapweedlead.errors import StoreError, StoreFault
 from knapweedlead.mesh import FleetChange, FleetState, Member
 from knapweedlead.platform import PlatformStore
+from knapweedlead.positions import StorePosition
 
 LEASE_TIME = 6.0
 """Seconds for which a daemon stays registered without renewing its lease; longer than
@@ -33,6 +34,11 @@
 """Seconds that the store waits for changes before it answers a watch. Each answer
 confirms the configuration, which has to happen well within the time in which a
 withdrawn key must stop working."""
+ERA_CHECK_PERIOD = 0.5
+"""Seconds between checks whether the store has come back from a copy, which may not
+hold the registration."""
+REWRITE_SPREAD = 1.0
+"""Seconds over which the daemons of a fleet spread their registrations after that."""
 RELAY_CHECK_PERIOD = 0.1
 """Seconds between checks whether this daemon is to watch the store."""
 
@@ -50,14 +56,14 @@
     def apply_state(self, state: FleetState, source: str) -> None:
         """Apply the whole state read from the store."""
 
-    def apply_store_change(self, base: int, change: FleetChange) -> None:
-        """Apply the changes in the store after revision `base`."""
+    def apply_store_change(self, base: StorePosition, change: FleetChange) -> None:
+        """Apply the changes in the store after `base`."""
 
     def is_unlisted(self, registered_at: float) -> bool:
         """Return whether the store does not list this daemon after it registered."""
 
-    def confirm(self, requested_at: float) -> None:
-        """Record that the known state was the newest in the store at `requested_at`."""
+    def confirm(self, requested_at: float, position: StorePosition) -> None:
+        """Record that the store's newest position at `requested_at` was `position`."""
 
     def set_watching(self, is_watching: bool) -> None:
         """Record whether the store answers this daemon's watch."""
@@ -91,6 +97,8 @@
         self.store = store
         self.local_member = local_member
         self._lease = 0
+        self._lease_era = 0
+        self._era = 0
         self._registered_at = 0.0
         self._backoff_by_step = {
             "register": FullJitter(RETRY_BASE_DELAY, MAX_REGISTER_DELAY),
@@ -108,12 +116,20 @@
             self._tasks.append(asyncio.ensure_future(self._supervise(step, loop)))
 
     async def stop(self) -> None:
-        """Stop both tasks and revoke the lease, which deregisters the daemon."""
+        """Stop both tasks and revoke the lease, which deregisters the daemon.
+
+        The number of a lease of an earlier era may be that of another daemon's lease.
+        """
         for task in self._tasks:
             task.cancel()
-        if self._lease:
+        if self._lease and not self._is_lease_outdated:
             await self.store.revoke_lease(self._lease)
 
+    @property
+    def _is_lease_outdated(self) -> bool:
+        """Whether the store has come back from a copy since it granted the lease."""
+        return self._era > self._lease_era
+
     async def _supervise(self, step: str, loop: Callable[[], Awaitable[None]]) -> None:
         """Run a loop without end; start it again after an unexpected exception."""
         while True:
@@ -128,10 +144,26 @@
         while True:
             is_registered = await (self._renew() if self._lease else self._register())
             if is_registered:
-                await asyncio.sleep(RENEWAL_PERIOD)
+                await self._await_renewal()
             elif self._lease or self._failures_by_step["register"]:
                 await asyncio.sleep(self._retry_delay("register"))
 
+    async def _await_renewal(self) -> None:
+        """Wait until the lease is to be renewed, or until it is outdated."""
+        for _ in range(round(RENEWAL_PERIOD / ERA_CHECK_PERIOD)):
+            await asyncio.sleep(ERA_CHECK_PERIOD)
+            if self._is_lease_outdated:
+                await self._drop_outdated_lease()
+                return
+
+    async def _drop_outdated_lease(self) -> None:
+        self._drop_lease()
+        await asyncio.sleep(self.host.rng.uniform(0.0, REWRITE_SPREAD))
+
+    def _drop_lease(self) -> None:
+        self._lease = 0
+        self.host.record_registration(False)
+
     async def _register(self) -> bool:
         """Register the daemon under a new lease; return whether this succeeded."""
         granted = await self.store.grant_lease(LEASE_TIME)
@@ -143,7 +175,10 @@
         if isinstance(written, Err):
             self._record_failure("register", written.err_value)
             return False
-        self._lease = lease
+        self._observe_era(written.ok_value)
+        if written.ok_value != granted.ok_value.era:
+            return False
+        self._lease, self._lease_era = lease, written.ok_value
         self._registered_at = self.host.clock()
         self._record_success("register")
         self.host.record_registration(True)
@@ -158,16 +193,18 @@
         renewed = await self.store.renew_lease(self._lease)
         if not isinstance(renewed, Err):
             self._record_success("register")
+            self._observe_era(renewed.ok_value)
+            if self._is_lease_outdated:
+                await self._drop_outdated_lease()
+                return False
             if not self.host.is_unlisted(self._registered_at):
                 return True
-            self._lease = 0
-            self.host.record_registration(False)
+            self._drop_lease()
             return False
         if renewed.err_value.fault is StoreFault.CONFLICT:
             # The lease has expired, but the store answers: register without a delay.
-            self._lease = 0
             self._record_success("register")
-            self.host.record_registration(False)
+            self._drop_lease()
         else:
             self._record_failure("register", renewed.err_value)
         return False
@@ -176,6 +213,7 @@
         """Read the store once, then watch it whenever this daemon is a relay."""
         needs_read = True
         while True:
+            self._observe_era(self.host.state.position.era)
             if needs_read:
                 needs_read = not await self._read_state()
             elif self.host.should_watch():
@@ -184,28 +222,47 @@
                 self.host.set_watching(False)
                 await asyncio.sleep(RELAY_CHECK_PERIOD)
 
+    def _observe_era(self, era: int) -> None:
+        self._era = max(self._era, era)
+
     async def _read_state(self) -> bool:
         requested_at = self.host.clock()
+        base = self.host.state.position
         result = await self.store.read_state()
         if isinstance(result, Err):
             await self._handle_watch_failure(result.err_value)
             return False
+        position = result.ok_value.position
+        if position < base:
+            await self._handle_watch_failure(self._position_error(position, base))
+            return False
         self._record_success("watch")
         self.host.apply_state(result.ok_value, "store")
-        self.host.confirm(requested_at)
+        self.host.confirm(requested_at, position)
         return True
 
+    def _position_error(
+        self, position: StorePosition, base: StorePosition
+    ) -> StoreError:
+        detail = f"expected {base} or later, got {position}"
+        fault = StoreFault.UNKNOWN_OUTCOME
+        return StoreError("store.position", self.store.address, detail, fault)
+
     async def _watch_once(self) -> bool:
-        """Watch once; return False if the needed history was compacted away."""
+        """Watch once; return False if the needed history is not available."""
         requested_at = self.host.clock()
-        base = self.host.state.revision
+        base = self.host.state.position
         changed = await self.store.watch_state(base, WATCH_WAIT)
         if isinstance(changed, Err):
             await self._handle_watch_failure(changed.err_value)
             return changed.err_value.fault is not StoreFault.COMPACTED
+        position = changed.ok_value.position
+        if position < base:
+            await self._handle_watch_failure(self._position_error(position, base))
+            return False
         self._record_success("watch")
         self.host.apply_store_change(base, changed.ok_value)
-        self.host.confirm(requested_at)
+        self.host.confirm(requested_at, position)
         self.host.set_watching(True)
         return True
 
--- a/knapweedlead/sidecar/_wire.py
+++ b/knapweedlead/sidecar/_wire.py
@@ -19,13 +19,15 @@
     Quarantined,
     ServerState,
 )
+from knapweedlead.positions import StorePosition
 
 
 class FrameKind(enum.IntEnum):
     """Kind of a frame; the first field of each frame.
 
     Kind 11 was used by earlier versions. Unknown kinds are ignored, and so are fields
-    that a later version appends to a frame.
+    that a later version appends to a frame. The eras of positions were appended so, and
+    are 0 in the frames of earlier versions.
     """
 
     CALL = 1
@@ -91,19 +93,22 @@
     lead : float
         Seconds from the arrival of that probe to the last confirmation of the
         sender's configuration; negative if the confirmation came first.
-    revision : int
-        Revision of the sender's fleet state.
+    position : StorePosition
+        Position of the sender's fleet state.
     is_watching : bool
         Whether the sender watches the store.
     server : ServerState
         State of the sender's local backend server.
+    configuration_version : int
+        Version of the configuration that the sender has in force; 0 if none.
     """
 
     requested_at: float
     lead: float
-    revision: int
+    position: StorePosition
     is_watching: bool
     server: ServerState
+    configuration_version: int = 0
 
     def to_frame(self) -> list[Any]:
         """Return the frame that carries this state."""
@@ -111,30 +116,36 @@
             FrameKind.STATE.value,
             self.requested_at,
             self.lead,
-            self.revision,
+            self.position.revision,
             self.is_watching,
             *attrs.astuple(self.server),
+            self.position.era,
+            self.configuration_version,
         ]
 
 
-def fleet_state_frame(state: FleetState, known_configuration: int) -> list[Any]:
+def fleet_state_frame(
+    state: FleetState, known_configuration: StorePosition
+) -> list[Any]:
     """Return the frame with a fleet state.
 
     Parameters
     ----------
     state : FleetState
-    known_configuration : int
-        Revision of the receiver's configuration; the configuration is left out of
-        the frame if `state` has the same revision of the configuration.
+    known_configuration : StorePosition
+        Position of the receiver's configuration; the configuration is left out of
+        the frame if `state` has the same position of the configuration.
     """
-    is_known = state.configuration_revision == known_configuration
+    is_known = state.configuration_position == known_configuration
     return [
         FrameKind.FLEET_STATE.value,
-        state.revision,
-        state.configuration_revision,
+        state.position.revision,
+        state.configuration_position.revision,
         b"" if is_known else _compressed(state.configuration),
         sorted(state.evacuated),
         [list(attrs.astuple(member)) for member in state.member_by_name.values()],
+        state.position.era,
+        state.configuration_position.era,
     ]
 
 
@@ -144,20 +155,23 @@
     return zlib.compress(configuration)
 
 
-def change_frame(base: int, change: FleetChange) -> list[Any]:
-    """Return the frame with changes after revision `base`.
+def change_frame(base: StorePosition, change: FleetChange) -> list[Any]:
+    """Return the frame with changes after position `base`.
 
-    A changed configuration is not part of the frame, only its revision.
+    A changed configuration is not part of the frame, only its position.
     """
     return [
         FrameKind.FLEET_CHANGE.value,
-        base,
-        change.revision,
-        change.configuration_revision,
+        base.revision,
+        change.position.revision,
+        change.configuration_position.revision,
         list(change.evacuated),
         list(change.returned),
         [list(attrs.astuple(member)) for member in change.joined],
         list(change.left),
+        base.era,
+        change.position.era,
+        change.configuration_position.era,
     ]
 
 
--- a/knapweedlead/sidecar/tests/test_control_traffic.py
+++ b/knapweedlead/sidecar/tests/test_control_traffic.py
@@ -16,6 +16,7 @@
 )
 from knapweedlead.mesh.tests.harness import GuardHarness, make_report
 from knapweedlead.platform.tests.fleets import Fleet
+from knapweedlead.positions import StorePosition
 from knapweedlead.sidecar._frame_decoders import (
     FrameError,
     decode_change,
@@ -167,26 +168,35 @@
     server = ServerState(
         "i", "deep", True, 1, 2, 10, rate_limit=5.0, born=1000, is_leaving=True
     )
-    state = PeerState(1.0, -0.5, 7, True, server)
+    state = PeerState(1.0, -0.5, StorePosition(1, 7), True, server)
     assert decode_peer_state([*state.to_frame(), "added"]) == state
-    fleet = FleetState(7, b"{}", 5, frozenset({"north"}), {MEMBER.name: MEMBER})
-    frame = fleet_state_frame(fleet, 0)
+    fleet = FleetState(
+        StorePosition(1, 7),
+        b"{}",
+        StorePosition(1, 5),
+        frozenset({"north"}),
+        {MEMBER.name: MEMBER},
+    )
+    frame = fleet_state_frame(fleet, StorePosition())
     frame[5] = [[*row, "added"] for row in frame[5]]
     assert decode_fleet_state([*frame, "added"], FleetState()) == fleet
-    change = FleetChange(8, joined=(MEMBER,), left=("daemon-1",))
-    frame = change_frame(5, change)
+    change = FleetChange(StorePosition(1, 8), joined=(MEMBER,), left=("daemon-1",))
+    frame = change_frame(StorePosition(1, 5), change)
     frame[6] = [[*row, "added"] for row in frame[6]]
-    assert decode_change([*frame, "added"]) == (5, change)
+    assert decode_change([*frame, "added"]) == (StorePosition(1, 5), change)
     frame = demand_frame(FrameKind.DEMAND_REPORT, "daemon-1", DEMAND)
     frame[3] = {route: [*row, "added"] for route, row in frame[3].items()}
     assert decode_demand([*frame, "added"]) == ("daemon-1", DEMAND)
 
 
 def test_state_of_an_earlier_version_without_rate_limit_and_start_time_is_read():
-    state = PeerState(1.0, -0.5, 7, True, ServerState("i", "deep", True, 1, 2, 10))
+    state = PeerState(
+        1.0, -0.5, StorePosition(1, 7), True, ServerState("i", "deep", True, 1, 2, 10)
+    )
     fields_of_earlier_version = 14
     frame = state.to_frame()[:fields_of_earlier_version]
-    assert decode_peer_state(frame) == state
+    position = StorePosition(0, 7)
+    assert decode_peer_state(frame) == attrs.evolve(state, position=position)
 
 
 @pytest.mark.parametrize("value", [math.nan, math.inf, -1.0, "much", None])
--- a/knapweedlead/sidecar/tests/test_store_sync.py
+++ b/knapweedlead/sidecar/tests/test_store_sync.py
@@ -53,7 +53,10 @@
 
 
 class ScriptedStore:
-    """Fails each renewal with the next of the given faults and records all calls."""
+    """Fails each renewal with the next of the given faults and records all calls.
+
+    A number in place of a fault is the era in which the renewal succeeds.
+    """
 
     def __init__(self, faults, operations):
         self.faults = list(faults)
@@ -62,15 +65,21 @@
     async def renew_lease(self, lease):
         self.operations.append("renew")
         fault = self.faults.pop(0)
+        if isinstance(fault, int):
+            return Ok(fault)
         return Err(StoreError("renew", "store", "scripted", fault))
 
+    async def revoke_lease(self, lease):
+        self.operations.append("revoke")
+        return Ok(None)
+
     async def grant_lease(self, duration):
         self.operations.append("grant")
-        return Ok(LeaseGrant(2, duration))
+        return Ok(LeaseGrant(2, duration, 1))
 
     async def register(self, local_member, lease):
         self.operations.append("register")
-        return Ok(None)
+        return Ok(1)
 
 
 class StubHost:
@@ -131,6 +140,32 @@
         assert calls == CALLS_PER_REGISTRATION * (len(fleet.sidecars) + 1)
 
 
+async def test_lease_number_that_is_given_out_again_is_neither_kept_nor_revoked(
+    monkeypatch,
+):
+    # Guards against a daemon that renews, or ends, the lease of another one after the
+    # store has come back from a copy.
+    operations = []
+
+    async def record_pause(seconds):
+        operations.append("pause")
+        if "register" in operations:
+            raise asyncio.CancelledError
+
+    store = ScriptedStore([2], operations)
+    local_member = Member("daemon-0", "127.0.0.1:1", "front", "north")
+    sync = StoreSync(StubHost(), store, local_member)
+    sync._lease, sync._lease_era = 1, 1
+    monkeypatch.setattr("knapweedlead.sidecar._store_sync.asyncio.sleep", record_pause)
+    sync._observe_era(2)
+    await sync.stop()
+    assert operations == []
+    sync._era = 1
+    with pytest.raises(asyncio.CancelledError):
+        await sync._keep_registered()
+    assert operations[:4] == ["renew", "pause", "grant", "register"]
+
+
 def tracked(sidecars):
     """Return the fleet trackers of daemons."""
     return [sidecar.fleet for sidecar in sidecars]
@@ -141,9 +176,9 @@
     sidecar = Sidecar(fleet.settings(0, "front", "north"), random.Random(1))
     tracker = sidecar.fleet
     assert not tracker.is_unlisted(100.0)
-    tracker.confirm(99.0)
+    tracker.confirm(99.0, tracker.state.position)
     assert not tracker.is_unlisted(100.0)
-    tracker.confirm(101.0)
+    tracker.confirm(101.0, tracker.state.position)
     assert tracker.is_unlisted(100.0)
     member = tracker.local_member
     tracker.state = attrs.evolve(tracker.state, member_by_name={member.name: member})
