Own interface: keys of the store are compared by era and revision; a lost catalogue is written again

Seen by operators: after the store came back from a copy, changes were answered 200 and dropped by the daemons, as their revisions were lower than those that the copy lacked, while the relays confirmed the applied catalogue.

Cause: conditions of writes and watches held bare revisions, and an answer confirmed the applied catalogue whatever it held. Evidence: both new tests of test_spreading fail on the old code (revision 4 where 5 was accepted; fresh with an older catalogue in the store). Ruled out: the delta between daemons, which is checked by its content.

Change: entries, watches and conditions hold positions; a condition of another era is a conflict and isn't sent. An answer confirms only a catalogue that is applied. A relay writes the applied catalogue over an older one, and a change is made to the applied one.

--- a/knapweedlead/configuration/_operator_role.py
+++ b/knapweedlead/configuration/_operator_role.py
@@ -196,7 +196,7 @@
         answer = event.result.ok_value
         step: StoreOperation | OperatorReply
         step = (
-            pending.on_read(answer)
+            pending.on_read(answer, self.configuration.catalogue)
             if isinstance(answer, Entry)
             else (pending.on_written())
         )
--- a/knapweedlead/configuration/_pending_change.py
+++ b/knapweedlead/configuration/_pending_change.py
@@ -22,6 +22,7 @@
 )
 from knapweedlead.configuration._resources import KINDS
 from knapweedlead.errors import StoreError, StoreFault
+from knapweedlead.positions import StorePosition
 from knapweedlead.store import CompareAndSwap, Entry, Get, StoreOperation
 
 CATALOGUE_KEY = "knapweedlead/catalogue"
@@ -63,14 +64,22 @@
         self.written = None
         return Get(CATALOGUE_KEY)
 
-    def on_read(self, entry: Entry) -> StoreOperation | OperatorReply:
-        """Return the write that applies the change, or the final reply."""
+    def on_read(
+        self, entry: Entry, applied: Catalogue | None
+    ) -> StoreOperation | OperatorReply:
+        """Return the write that applies the change, or the final reply.
+
+        The change is made to the applied catalogue if the store, which may have come
+        back from a copy, holds an older one.
+        """
         catalogue = Catalogue(0, {kind: {} for kind in KINDS})
         if entry.value:
             parsed = parse_catalogue(entry.value)
             if isinstance(parsed, Err):
                 return invalid_reply(parsed.err_value)
             catalogue = parsed.ok_value
+        if applied is not None and applied.revision > catalogue.revision:
+            catalogue = applied
         earlier = find_accepted_change(catalogue, self.change)
         if isinstance(earlier, Err):
             return refusal_reply(earlier.err_value)
@@ -80,10 +89,10 @@
         changed = apply_change(catalogue, self.change)
         if isinstance(changed, Err):
             return refusal_reply(changed.err_value)
-        return self._write(changed.ok_value, entry.revision)
+        return self._write(changed.ok_value, entry.position)
 
     def _write(
-        self, catalogue: Catalogue, expected: int
+        self, catalogue: Catalogue, expected: StorePosition
     ) -> StoreOperation | OperatorReply:
         value = serialize_catalogue(catalogue)
         if len(value) > MAX_VALUE_BYTES:
--- a/knapweedlead/configuration/_role.py
+++ b/knapweedlead/configuration/_role.py
@@ -9,7 +9,7 @@
 from knapweedlead.configuration._catalogue import Catalogue
 from knapweedlead.configuration._confirmer import Confirmer
 from knapweedlead.configuration._delta import Delta, apply_delta, make_delta
-from knapweedlead.configuration._document import parse_catalogue
+from knapweedlead.configuration._document import parse_catalogue, serialize_catalogue
 from knapweedlead.configuration._freshness import Freshness
 from knapweedlead.configuration._messages import (
     CataloguePush,
@@ -18,6 +18,7 @@
     PullReply,
     PullRequest,
 )
+from knapweedlead.configuration._pending_change import CATALOGUE_KEY
 from knapweedlead.configuration._spreading import RING_SIZE, Spreading, distance
 from knapweedlead.configuration._store_watch import StoreWatch
 from knapweedlead.errors import ResourceError
@@ -38,7 +39,7 @@
     handles,
     handles_message,
 )
-from knapweedlead.store import Entry
+from knapweedlead.store import CompareAndSwap, Entry
 
 CUT_OFF_TIMEOUT_SECONDS = 3.0
 """Seconds without confirmation by the store after which a relay is cut off.
@@ -90,7 +91,9 @@
         self.freshness = Freshness()
         self._confirmer = Confirmer(membership, rng)
         self._watch = StoreWatch(rng)
-        self._is_entry_valid = False
+        self._is_entry_applied = False
+        self._is_entry_older = False
+        self._restore_call = 0
         self._last_forwarded = (0, 0)
         self._next_pull = 0.0
 
@@ -157,6 +160,8 @@
     @handles(StoreAnswered)
     def on_store_answered(self, event: StoreAnswered, now: float) -> Iterator[Effect]:
         """Handle an answer to the watch and continue watching."""
+        if event.call == self._restore_call:
+            self._restore_call = 0
         if event.call != self._watch.call:
             return
         entry = self._watch.on_answer(event.result, now)
@@ -164,20 +169,36 @@
             yield from self._apply_entry(entry, now)
         confirmed_at = self._watch.confirmed_at
         is_answer = not isinstance(event.result, Err)
-        if is_answer and self._is_entry_valid and confirmed_at is not None:
+        if is_answer and self._is_entry_applied and confirmed_at is not None:
             self.freshness.confirm(confirmed_at)
+        if is_answer and self._is_entry_older:
+            yield from self._restore()
         yield from self._watch_store(now)
 
     def _apply_entry(self, entry: Entry, now: float) -> Iterator[Effect]:
-        self._is_entry_valid = True
-        if not entry.value:
+        self._is_entry_applied = self._is_entry_older = False
+        stored_revision = 0
+        if entry.value:
+            parsed = parse_catalogue(entry.value)
+            if isinstance(parsed, Err):
+                yield from _report_rejected(parsed.err_value)
+                return
+            stored_revision = parsed.ok_value.revision
+            yield from self.apply_stored(parsed.ok_value, self._watch.called_at, now)
+        self._is_entry_applied = stored_revision == self.revision
+        self._is_entry_older = stored_revision < self.revision
+
+    def _restore(self) -> Iterator[Effect]:
+        """Write the applied catalogue over an older one, from a copy of the store."""
+        entry = self._watch.entry
+        if self.catalogue is None or entry is None or self._restore_call:
             return
-        parsed = parse_catalogue(entry.value)
-        if isinstance(parsed, Err):
-            self._is_entry_valid = False
-            yield from _report_rejected(parsed.err_value)
-            return
-        yield from self.apply_stored(parsed.ok_value, self._watch.called_at, now)
+        self._restore_call = self.store_calls.next()
+        value = serialize_catalogue(self.catalogue)
+        write = CompareAndSwap(CATALOGUE_KEY, value, entry.position)
+        yield Count("knapweedlead.configuration.restored")
+        yield LogEvent("catalogue_restored", (("revision", self.revision),))
+        yield StoreCall(self._restore_call, write)
 
     def apply_stored(
         self, catalogue: Catalogue, confirmed_at: float, now: float
--- a/knapweedlead/configuration/_store_watch.py
+++ b/knapweedlead/configuration/_store_watch.py
@@ -58,12 +58,12 @@
         if self.entry is None or now >= self.reread_at:
             self.reread_at = now + REREAD_PERIOD_SECONDS
             return Get(CATALOGUE_KEY)
-        return Watch(CATALOGUE_KEY, self.entry.revision, WATCH_WAIT_SECONDS)
+        return Watch(CATALOGUE_KEY, self.entry.position, WATCH_WAIT_SECONDS)
 
     def on_answer(
         self, result: Result[StoreResult, StoreError], now: float
     ) -> Entry | None:
-        """Handle the pending call's answer; return the entry if its revision is new."""
+        """Handle the pending call's answer; return the entry if its position is new."""
         if isinstance(result, Err):
             self._fail(now, result.err_value.fault)
             return None
@@ -72,7 +72,7 @@
         self.call = 0
         self.retry_seconds = RETRY_DELAY_SECONDS
         self.confirmed_at = self.called_at
-        is_new = self.entry is None or entry.revision != self.entry.revision
+        is_new = self.entry is None or entry.position != self.entry.position
         self.entry = entry
         self.next_at = (
             now if is_new else max(now, self.called_at + MIN_CALL_INTERVAL_SECONDS)
--- a/knapweedlead/configuration/tests/test_spreading.py
+++ b/knapweedlead/configuration/tests/test_spreading.py
@@ -328,3 +328,43 @@
     assert serving_outdated(cores, 2) == []
     cores.run_for(60.0)
     assert not is_fresh(cores, cut)
+
+
+def test_catalogue_that_the_store_lost_is_written_again_and_changed_further():
+    # Guards against changes that are accepted and dropped, since their revisions are
+    # lower than those that the store has lost, while the applied one is confirmed.
+    cores = start_fleet()
+    saved = cores.store.state.copy()
+    for burst in (30, 40, 50):
+        apply_change(cores, burst=burst)
+        cores.run_for(1.0)
+    assert revisions(cores) == {4}
+    cores.store.state.restore(saved)
+    assert apply_change(cores, at="m3", burst=60).status == 200
+    cores.run_for(PROPAGATION_SECONDS)
+    assert revisions(cores) == {5}
+    assert burst_of(cores) == {60}
+    cores.store.state.restore(saved)
+    cores.run_for(PROPAGATION_SECONDS)
+    assert revisions(cores) == {5}
+    content = cores.store.state.by_key["knapweedlead/catalogue"].value
+    assert b'"revision":5' in content
+    assert all(is_fresh(cores, name) for name in running_names(cores))
+
+
+def test_older_catalogue_in_the_store_confirms_nothing():
+    cores = start_fleet()
+    saved = cores.store.state.copy()
+    apply_change(cores, burst=30)
+    cores.run_for(1.0)
+    cores.store.state.restore(saved)
+    cores.store.mode = "lose_writes"
+    cores.run_for(10.0)
+    assert revisions(cores) == {2}
+    assert not any(is_fresh(cores, name) for name in running_names(cores))
+
+
+def burst_of(cores):
+    """Return the bursts of the account on the running daemons."""
+    catalogues = [configuration_of(cores, n).catalogue for n in running_names(cores)]
+    return {each.resource("client_accounts", "crew").burst for each in catalogues}
--- a/knapweedlead/membership/_seeds.py
+++ b/knapweedlead/membership/_seeds.py
@@ -7,7 +7,7 @@
 
 from knapweedlead.membership._member import Member, check_member
 from knapweedlead.messages import read_document
-from knapweedlead.store import CompareAndSwap, Entry, Listing
+from knapweedlead.store import ABSENT, CompareAndSwap, Entry, Listing
 
 SEEDS_PREFIX = "knapweedlead/seeds/"
 
@@ -53,7 +53,7 @@
     entry = next((entry for entry in listing.entries if entry.key == key), None)
     value = json.dumps(attrs.asdict(member)).encode()
     if entry is None:
-        return CompareAndSwap(key, value, 0)
+        return CompareAndSwap(key, value, ABSENT)
     seed = _parse_member(entry)
     if seed is not None and (seed.name, seed.incarnation, seed.link_address) == (
         member.name,
@@ -61,4 +61,4 @@
         member.link_address,
     ):
         return None
-    return CompareAndSwap(key, value, entry.revision)
+    return CompareAndSwap(key, value, entry.position)
--- a/knapweedlead/membership/tests/test_odd_records.py
+++ b/knapweedlead/membership/tests/test_odd_records.py
@@ -13,6 +13,7 @@
 from knapweedlead.membership._messages import Ack, Ping, SyncReply, SyncRequest
 from knapweedlead.membership._seeds import SEEDS_PREFIX, parse_seeds
 from knapweedlead.node import MessageReceived
+from knapweedlead.positions import StorePosition
 from knapweedlead.store import Entry, Listing
 from standins.control_cores import ControlCores
 
@@ -81,8 +82,12 @@
 
 
 def listing(*values):
-    entries = (Entry(f"{SEEDS_PREFIX}dc0/{n}", v, n + 1) for n, v in enumerate(values))
-    return Listing(tuple(entries))
+    return Listing(
+        tuple(
+            Entry(f"{SEEDS_PREFIX}dc0/{number}", value, StorePosition(0, number + 1))
+            for number, value in enumerate(values)
+        )
+    )
 
 
 @pytest.mark.parametrize("number", range(len(ODD_VALUES)))
--- a/knapweedlead/ownership/_directory.py
+++ b/knapweedlead/ownership/_directory.py
@@ -1,6 +1,7 @@
 """Directory of the latest known slot records."""
 
 from knapweedlead.ownership._record import SlotRecord, free_record
+from knapweedlead.positions import StorePosition
 
 
 class SlotDirectory:
@@ -16,8 +17,8 @@
         self.number_of_slots = number_of_slots
         self.record_by_slot = {i: free_record(i) for i in range(number_of_slots)}
         self.changed_at_by_slot: dict[int, float] = {}
-        """When this daemon first read the current revision from the store."""
-        self._revision_by_slot: dict[int, int] = {}
+        """When this daemon first read the current position from the store."""
+        self._position_by_slot: dict[int, StorePosition] = {}
 
     def update(self, record: SlotRecord) -> bool:
         """Replace the known record if `record` is newer; return whether it is."""
@@ -27,11 +28,13 @@
         self.record_by_slot[record.slot] = record
         return True
 
-    def update_from_store(self, record: SlotRecord, revision: int, now: float) -> None:
+    def update_from_store(
+        self, record: SlotRecord, position: StorePosition, now: float
+    ) -> None:
         """Apply a record that was read from the store."""
         slot = record.slot
-        if self._revision_by_slot.get(slot) != revision:
-            self._revision_by_slot[slot] = revision
+        if self._position_by_slot.get(slot) != position:
+            self._position_by_slot[slot] = position
             self.changed_at_by_slot[slot] = now
         self.update(record)
 
--- a/knapweedlead/ownership/_role.py
+++ b/knapweedlead/ownership/_role.py
@@ -54,8 +54,9 @@
     SlotWrite,
     WriteKind,
 )
+from knapweedlead.positions import StorePosition
 from knapweedlead.statecharts import Statechart
-from knapweedlead.store import Entry, Listing
+from knapweedlead.store import ABSENT, Entry, Listing
 
 SLOT_CHART = Statechart.load("knapweedlead.ownership", "slot.json")
 
@@ -263,7 +264,7 @@
         by_key = {entry.key: entry for entry in listing.entries}
         for slot in range(self.number_of_slots):
             key = store_key(slot)
-            yield from self._on_entry(by_key.get(key, Entry(key, b"", 0)), now)
+            yield from self._on_entry(by_key.get(key, Entry(key, b"", ABSENT)), now)
 
     def _on_entry(self, entry: object, now: float) -> Iterator[Effect]:
         assert isinstance(entry, Entry)
@@ -277,13 +278,13 @@
             record = decoded.ok_value
         if record.age < self.directory.record_by_slot[slot].age:
             return
-        self.directory.update_from_store(record, entry.revision, now)
+        self.directory.update_from_store(record, entry.position, now)
         yield from self._reconcile(record, now)
         if self._store.is_busy(slot):
             return
         write = self._next_write(record, now)
         if write is not None:
-            yield self._send_write(write, entry.revision)
+            yield self._send_write(write, entry.position)
 
     def _reconcile(self, record: SlotRecord, now: float) -> Iterator[Effect]:
         """Update owned and backup slots from a record that was read."""
@@ -311,12 +312,12 @@
             return None
         return self._decisions.candidate_write(record, now)
 
-    def _send_write(self, write: SlotWrite, revision: int) -> Effect:
+    def _send_write(self, write: SlotWrite, expected: StorePosition) -> Effect:
         slot = write.record.slot
         self.backup_slots.set_unresolved(slot, True)
         if write.kind is WriteKind.CLAIM:
             self._advance(slot, "claim_sent")
-        return self._store.write(write, revision)
+        return self._store.write(write, expected)
 
     def _on_written(
         self, write: SlotWrite, event: StoreAnswered, now: float
--- a/knapweedlead/ownership/_slot_store.py
+++ b/knapweedlead/ownership/_slot_store.py
@@ -5,6 +5,7 @@
 from knapweedlead.node import Effect, StoreCall, StoreCallIds
 from knapweedlead.ownership._record import SLOTS_PREFIX, encode_record, store_key
 from knapweedlead.ownership._writes import SlotWrite
+from knapweedlead.positions import StorePosition
 from knapweedlead.store import CompareAndSwap, Get, List
 
 READ_INTERVAL_SECONDS = 0.5
@@ -47,7 +48,7 @@
         self._next_read_by_slot.pop(slot, None)
         yield from self.read(slot, now)
 
-    def write(self, write: SlotWrite, revision: int) -> Effect:
+    def write(self, write: SlotWrite, expected: StorePosition) -> Effect:
         """Return the call that writes a slot's record.
 
         A retry of the same record keeps the time at which it was first sent.
@@ -60,7 +61,7 @@
         call = self.store_calls.next()
         self._write_by_call[call] = write
         value = encode_record(write.record)
-        return StoreCall(call, CompareAndSwap(store_key(slot), value, revision))
+        return StoreCall(call, CompareAndSwap(store_key(slot), value, expected))
 
     def is_busy(self, slot: int) -> bool:
         """Return whether a call for a slot is in flight."""
--- a/knapweedlead/requests/_once_owner.py
+++ b/knapweedlead/requests/_once_owner.py
@@ -38,7 +38,7 @@
     Records,
     record_key,
 )
-from knapweedlead.store import CompareAndSwap, Delete, Entry, Get
+from knapweedlead.store import ABSENT, CompareAndSwap, Delete, Entry, Get
 
 ONCE_PREFIX = "knapweedlead/once/"
 
@@ -231,7 +231,7 @@
         self._claim_by_call[call] = claim
         self._peer_by_call[call] = peer
         value = _stored_value(claim.record)
-        return StoreCall(call, CompareAndSwap(store_key(claim.record), value, 0))
+        return StoreCall(call, CompareAndSwap(store_key(claim.record), value, ABSENT))
 
     def on_store_answered(self, event: StoreAnswered, now: float) -> Iterator[Effect]:
         """Continue the storage or the deletion of a durable claim."""
@@ -321,7 +321,7 @@
         entry = event.result.ok_value
         if isinstance(entry, Entry) and entry.value.decode() == value:
             call = self.store_calls.next()
-            yield StoreCall(call, Delete(entry.key, entry.revision))
+            yield StoreCall(call, Delete(entry.key, entry.position))
 
 
 def store_key(state: RecordState) -> str:
--- a/knapweedlead/sidecar/tests/test_fleet_tracker.py
+++ b/knapweedlead/sidecar/tests/test_fleet_tracker.py
@@ -246,7 +246,7 @@
     assert not tracker.fleet.handle_peer_state(state)
 
 
-PACKAGES = ("mesh", "platform", "sidecar")
+PACKAGES = ("mesh", "ownership", "platform", "sidecar", "store")
 
 
 @pytest.mark.parametrize("package", PACKAGES)
--- a/knapweedlead/store/__init__.py
+++ b/knapweedlead/store/__init__.py
@@ -7,6 +7,7 @@
 
 from knapweedlead.store._http_store import HttpStore
 from knapweedlead.store._operations import (
+    ABSENT,
     CompareAndSwap,
     CreateLease,
     Delete,
@@ -24,6 +25,7 @@
 )
 
 __all__ = [
+    "ABSENT",
     "CompareAndSwap",
     "CreateLease",
     "Delete",
--- a/knapweedlead/store/_http_store.py
+++ b/knapweedlead/store/_http_store.py
@@ -11,8 +11,10 @@
 
 from result import Err, Ok, Result
 
+from knapweedlead.checks import check_count
 from knapweedlead.errors import StoreError, StoreFault
 from knapweedlead.http import CONNECTION_LOST, FetchFailure, HttpAnswer, fetch
+from knapweedlead.positions import EraTracker, StorePosition
 from knapweedlead.store._operations import (
     CompareAndSwap,
     CreateLease,
@@ -33,6 +35,7 @@
 _NOT_FOUND = 404
 _OK = 200
 _GONE = 410
+ERA_HEADER = "store-era"
 _WATCH_GRACE_SECONDS = 2.0
 """Seconds added to the wait of a watch to get its timeout."""
 
@@ -71,6 +74,7 @@
     def __init__(self, address: str, timeout: float) -> None:
         self.address = address
         self.timeout = timeout
+        self._eras = EraTracker()
         self._method_by_operation: dict[
             type, Callable[[Any], Awaitable[_CallResult]]
         ] = {
@@ -127,6 +131,7 @@
         )
         if isinstance(result, Err):
             raise _CallError(result.err_value)
+        self._eras.observe(result.ok_value.headers.get(ERA_HEADER))
         return result.ok_value
 
     async def _get(self, operation: Get) -> _CallResult:
@@ -137,7 +142,7 @@
     async def _watch(self, operation: Watch) -> _CallResult:
         url = (
             f"/v1/kv/{quote(operation.key)}"
-            f"?index={operation.after}&wait={operation.wait:g}s"
+            f"?index={operation.after.revision}&wait={operation.wait:g}s"
         )
         timeout = operation.wait + _WATCH_GRACE_SECONDS
         response = await self._send("GET", url, None, timeout)
@@ -147,33 +152,38 @@
 
     def _read_entry(self, key: str, response: HttpAnswer) -> _CallResult:
         if response.status == _NOT_FOUND:
-            return Ok(Entry(key, b"", 0))
+            return Ok(Entry(key, b"", StorePosition(self._eras.latest)))
         documents = self._json(response)
-        return Ok(_parse_entry(documents[0]))
+        return Ok(_parse_entry(documents[0], self._eras.latest))
 
     async def _list(self, operation: List) -> _CallResult:
         url = f"/v1/kv/{quote(operation.prefix)}?recurse=true"
         response = await self._send("GET", url, None, self.timeout)
         if response.status == _NOT_FOUND:
             return Ok(Listing(()))
+        era = self._eras.latest
         documents = self._json(response)
-        return Ok(Listing(tuple(_parse_entry(document) for document in documents)))
+        return Ok(Listing(tuple(_parse_entry(document, era) for document in documents)))
 
     async def _compare_and_swap(self, operation: CompareAndSwap) -> _CallResult:
-        url = f"/v1/kv/{quote(operation.key)}?cas={operation.expected}"
+        if not self._is_current(operation.expected):
+            return self._era_conflict(operation.key)
+        url = f"/v1/kv/{quote(operation.key)}?cas={operation.expected.revision}"
         if operation.lease:
             url += f"&acquire={operation.lease}"
         response = await self._send("PUT", url, operation.value, self.timeout)
         return self._write_result(operation.key, self._json(response))
 
     async def _delete(self, operation: Delete) -> _CallResult:
-        url = f"/v1/kv/{quote(operation.key)}?cas={operation.expected}"
+        if not self._is_current(operation.expected):
+            return self._era_conflict(operation.key)
+        url = f"/v1/kv/{quote(operation.key)}?cas={operation.expected.revision}"
         response = await self._send("DELETE", url, None, self.timeout)
         return self._write_result(operation.key, self._json(response))
 
     def _write_result(self, key: str, document: Any) -> _CallResult:
         if document is True:
-            return Ok(Written(0))
+            return Ok(Written())
         return self._conflict("store.write", f"{key} has another revision")
 
     async def _create_lease(self, operation: CreateLease) -> _CallResult:
@@ -199,7 +209,13 @@
     async def _revoke_lease(self, operation: RevokeLease) -> _CallResult:
         url = f"/v1/session/destroy/{operation.lease}"
         self._json(await self._send("PUT", url, b"", self.timeout))
-        return Ok(Written(0))
+        return Ok(Written())
+
+    def _is_current(self, expected: StorePosition) -> bool:
+        return not expected.revision or expected.era == self._eras.latest
+
+    def _era_conflict(self, key: str) -> _CallResult:
+        return self._conflict("store.write", f"{key} was read in another era")
 
     def _json(self, response: HttpAnswer) -> Any:
         if response.status != _OK:
@@ -213,9 +229,10 @@
         return Err(StoreError(step, self.address, detail, fault))
 
 
-def _parse_entry(document: Any) -> Entry:
+def _parse_entry(document: Any, era: int) -> Entry:
     value = base64.b64decode(document["Value"] or "")
-    return Entry(document["Key"], value, document["ModifyIndex"])
+    position = StorePosition(era, check_count(document["ModifyIndex"]))
+    return Entry(document["Key"], value, position)
 
 
 def _is_connection_lost(error: StoreError) -> bool:
--- a/knapweedlead/store/_operations.py
+++ b/knapweedlead/store/_operations.py
@@ -2,6 +2,11 @@
 
 import attrs
 
+from knapweedlead.positions import StorePosition
+
+ABSENT = StorePosition()
+"""Expected position of a key that must not exist, in any era."""
+
 
 @attrs.frozen
 class StoreOperation:
@@ -30,23 +35,24 @@
     ----------
     key : str
         Key to watch.
-    after : int
-        Revision to compare with; the store answers once the key has a different one.
+    after : StorePosition
+        Position to compare with; the store answers once the key has a different one.
     wait : float
         Seconds after which the store answers without a change.
     """
 
     key: str
-    after: int
+    after: StorePosition
     wait: float
 
 
 @attrs.frozen
 class CompareAndSwap(StoreOperation):
-    """Write a key if it has the expected revision; answered by `Written`.
+    """Write a key if it has the expected position; answered by `Written`.
 
-    If the key has a different revision, the result is a `StoreError` with
-    ``CONFLICT``.
+    If the key has a different position, the result is a `StoreError` with
+    ``CONFLICT``. So it is if the store is known to be in another era, in which the
+    same revision may be that of another value.
 
     Parameters
     ----------
@@ -54,24 +60,24 @@
         Key to write.
     value : bytes
         New value, of at most 1 MB.
-    expected : int
-        Expected revision; 0 if the key must not exist.
+    expected : StorePosition
+        Expected position; `ABSENT` if the key must not exist.
     lease : str
         Lease whose expiry deletes the key; empty for none.
     """
 
     key: str
     value: bytes
-    expected: int
+    expected: StorePosition
     lease: str = ""
 
 
 @attrs.frozen
 class Delete(StoreOperation):
-    """Delete a key if it has the expected revision; answered by `Written`."""
+    """Delete a key if it has the expected position; answered by `Written`."""
 
     key: str
-    expected: int
+    expected: StorePosition
 
 
 @attrs.frozen
@@ -105,7 +111,7 @@
 
 @attrs.frozen
 class Entry(StoreResult):
-    """A key with its value and revision.
+    """A key with its value and position.
 
     Parameters
     ----------
@@ -113,13 +119,14 @@
         Name of the key.
     value : bytes
         Value; empty if the key does not exist.
-    revision : int
-        Revision of the last write; 0 if the key does not exist.
+    position : StorePosition
+        Era of the answer, and revision of the last write; revision 0 if the key does
+        not exist.
     """
 
     key: str
     value: bytes
-    revision: int
+    position: StorePosition
 
 
 @attrs.frozen
@@ -131,15 +138,7 @@
 
 @attrs.frozen
 class Written(StoreResult):
-    """A write, deletion or revocation took effect.
-
-    Parameters
-    ----------
-    revision : int
-        New revision of the key, or 0 if the store did not return it.
-    """
-
-    revision: int
+    """A write, deletion or revocation took effect."""
 
 
 @attrs.frozen
--- a/knapweedlead/store/tests/test_endless_answers.py
+++ b/knapweedlead/store/tests/test_endless_answers.py
@@ -5,7 +5,7 @@
 import pytest
 
 from knapweedlead.errors import StoreFault
-from knapweedlead.store import CompareAndSwap, Get, HttpStore, List
+from knapweedlead.store import ABSENT, CompareAndSwap, Get, HttpStore, List
 from knapweedlead.store._http_store import MAX_ANSWER_BYTES
 
 HEAD = b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n"
@@ -52,7 +52,7 @@
 
 @pytest.mark.parametrize(
     "operation",
-    [Get("key"), List("prefix"), CompareAndSwap("key", b"value", 0)],
+    [Get("key"), List("prefix"), CompareAndSwap("key", b"value", ABSENT)],
     ids=lambda operation: type(operation).__name__,
 )
 @pytest.mark.parametrize("name", sorted(ENDLESS))
--- a/knapweedlead/store/tests/test_lost_connections.py
+++ b/knapweedlead/store/tests/test_lost_connections.py
@@ -6,7 +6,7 @@
 from result import Err
 
 from knapweedlead.errors import StoreFault
-from knapweedlead.store import CompareAndSwap, Get, HttpStore
+from knapweedlead.store import ABSENT, CompareAndSwap, Get, HttpStore
 
 TIMEOUT = 5.0
 
@@ -40,7 +40,7 @@
 
 
 async def test_write_with_lost_answer_is_sent_once_and_has_an_unknown_outcome():
-    result, requests = await call(CompareAndSwap("key", b"value", 0))
+    result, requests = await call(CompareAndSwap("key", b"value", ABSENT))
     assert isinstance(result, Err)
     assert result.err_value.fault is StoreFault.UNKNOWN_OUTCOME
     assert requests == 1
--- a/knapweedlead/telemetry/_counters.py
+++ b/knapweedlead/telemetry/_counters.py
@@ -162,6 +162,12 @@
         "{message}",
         "Catalogues and changes that failed validation.",
     ),
+    MetricSpec(
+        "knapweedlead.configuration.restored",
+        MetricKind.COUNTER,
+        "{write}",
+        "Writes of the applied catalogue over an older one in the store.",
+    ),
     MetricSpec(
         "knapweedlead.messages.unhandled",
         MetricKind.COUNTER,
--- a/standins/_store_state.py
+++ b/standins/_store_state.py
@@ -1,6 +1,8 @@
 """In-memory state of the fake store: keys, leases and revisions."""
 
+import copy
 import secrets
+from typing import Any
 
 import attrs
 
@@ -29,6 +31,17 @@
         self.revision = 0
         self.by_key: dict[str, StoredEntry] = {}
         self.lease_by_id: dict[str, StoredLease] = {}
+        self.era = 0
+
+    def copy(self) -> dict[str, Any]:
+        """Return a copy of all keys and leases, for `restore`."""
+        return copy.deepcopy(vars(self))
+
+    def restore(self, saved: dict[str, Any]) -> None:
+        """Come back from a copy, in the next era."""
+        era = self.era + 1
+        vars(self).update(copy.deepcopy(saved))
+        self.era = era
 
     def compare_and_swap(
         self, key: str, value: bytes, expected: int | None, lease: str
--- a/standins/chains.py
+++ b/standins/chains.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from knapweedlead.positions import StorePosition
 from knapweedlead.store import CompareAndSwap
 from standins.cores import CallerReply, CoreBackendServer, Cores
 
@@ -57,7 +58,8 @@
     """Replace the catalogue in the store."""
     entry = cores.store.state.by_key.get(CATALOGUE_KEY)
     revision = 0 if entry is None else entry.revision
-    write = CompareAndSwap(CATALOGUE_KEY, document, revision)
+    expected = StorePosition(cores.store.state.era, revision)
+    write = CompareAndSwap(CATALOGUE_KEY, document, expected)
     cores.store.call(write, cores, lambda result: None)
 
 
--- a/standins/core_store.py
+++ b/standins/core_store.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from knapweedlead.errors import StoreError, StoreFault
+from knapweedlead.positions import StorePosition
 from knapweedlead.store import (
     CompareAndSwap,
     CreateLease,
@@ -53,8 +54,8 @@
     Attributes
     ----------
     mode : str
-        ``none``, ``down``, ``lose_answers``, ``silent_watches`` or
-        ``compacted_watches``.
+        ``none``, ``down``, ``lose_answers``, ``lose_writes`` (writes are not
+        executed), ``silent_watches`` or ``compacted_watches``.
     calls : Counter
         Number of calls by operation name.
     """
@@ -77,6 +78,9 @@
         if self.mode == "down":
             on_result(_failed(StoreFault.UNAVAILABLE))
             return
+        if isinstance(operation, WRITES) and self.mode == "lose_writes":
+            on_result(_failed(StoreFault.UNAVAILABLE))
+            return
         if isinstance(operation, Watch) and self.mode == "compacted_watches":
             on_result(_failed(StoreFault.COMPACTED))
             return
@@ -99,7 +103,7 @@
         if self.mode == "silent_watches":
             return
         for pending in list(self._pending_watches):
-            if self._read(pending.operation.key).revision != pending.operation.after:
+            if self._read(pending.operation.key).position != pending.operation.after:
                 self._answer(pending)
 
     def _answer(self, pending: _PendingWatch) -> None:
@@ -114,7 +118,11 @@
 
     def _read(self, key: str) -> Entry:
         entry = self.state.by_key.get(key)
-        return Entry(key, entry.value, entry.revision) if entry else Entry(key, b"", 0)
+        value, revision = (entry.value, entry.revision) if entry else (b"", 0)
+        return Entry(key, value, StorePosition(self.state.era, revision))
+
+    def _is_current(self, expected: StorePosition) -> bool:
+        return not expected.revision or expected.era == self.state.era
 
     def _execute(self, operation: Any, now: float) -> Result[Any, StoreError]:
         state = self.state
@@ -126,11 +134,13 @@
                     Listing(tuple(self._read(key) for key in state.list_prefix(prefix)))
                 )
             case CompareAndSwap(key, value, expected, lease):
-                return _written(
-                    state.compare_and_swap(key, value, expected, lease), state.revision
-                )
+                if not self._is_current(expected):
+                    return _failed(StoreFault.CONFLICT)
+                revision = expected.revision
+                return _written(state.compare_and_swap(key, value, revision, lease))
             case Delete(key, expected):
-                return _written(state.delete(key, expected), 0)
+                is_current = self._is_current(expected)
+                return _written(is_current and state.delete(key, expected.revision))
             case CreateLease(seconds):
                 return Ok(LeaseGranted(state.create_lease(seconds, now), seconds))
             case RenewLease(lease):
@@ -140,12 +150,12 @@
                 return Ok(LeaseGranted(lease, stored.seconds))
             case RevokeLease(lease):
                 state.revoke_lease(lease)
-                return Ok(Written(0))
+                return Ok(Written())
         raise TypeError(f"unknown operation {operation!r}")
 
 
-def _written(is_written: bool, revision: int) -> Result[Any, StoreError]:
-    return Ok(Written(revision)) if is_written else _failed(StoreFault.CONFLICT)
+def _written(is_written: bool) -> Result[Any, StoreError]:
+    return Ok(Written()) if is_written else _failed(StoreFault.CONFLICT)
 
 
 def _failed(fault: StoreFault) -> Err[StoreError]:
--- a/standins/store.py
+++ b/standins/store.py
@@ -6,7 +6,9 @@
 ``silent_watches`` (a watch returns only when its wait time ends) or
 ``compacted_watches`` (a watch is refused with status 410). The delay applies to each
 call.
-``GET /calls`` returns the number of calls by operation.
+``GET /calls`` returns the number of calls by operation. ``PUT /copies`` makes a copy
+of all keys and leases, and ``PUT /restored`` comes back from the last one, in the next
+era; all answers state the era in ``Store-Era``.
 """
 
 import asyncio
@@ -49,6 +51,10 @@
         route.add_put("/v1/session/destroy/{lease}", _handler(self._destroy))
         route.add_put("/faults", _handler(self._set_faults))
         route.add_get("/calls", _handler(self._count_calls))
+        route.add_put("/copies", _handler(self._copy))
+        route.add_put("/restored", _handler(self._restore))
+        self._copied = self.state.copy()
+        self.app.middlewares.append(self._state_era)
         self.app.on_start += self._start_expiry
 
     async def _start_expiry(self, app: Application) -> None:
@@ -177,6 +183,20 @@
         await self._notify_watches()
         return json(True)
 
+    async def _state_era(self, request: Request, handler: Handler) -> Response:
+        response = await handler(request)
+        response.headers.set(b"Store-Era", str(self.state.era).encode())
+        return response
+
+    async def _copy(self, request: Request) -> Response:
+        self._copied = self.state.copy()
+        return json(True)
+
+    async def _restore(self, request: Request) -> Response:
+        self.state.restore(self._copied)
+        await self._notify_watches()
+        return json(True)
+
     async def _count_calls(self, request: Request) -> Response:
         return json(dict(self.calls))
 
