Rates are divided only by a list of daemons that is known to be whole

Cause: a restarted daemon took the list of those that had registered again for the whole fleet, and divided the rate among these few; before its first list it even earned the whole rate. Ruled out: the retention of removed members and the links, which a new process has not.

Change: the store keeps the names of daemons without a lease, written in the same call as the member's entry; they count until they have been absent for 10 s with the store in touch, and are removed then. A first list that names this daemon was written by an earlier process, so it is whole at once; any other one is when no name has joined for 2 s. Until then, and while the list doesn't name it, a daemon has no share of its own (it may borrow), and the least retry budget. It registers after it has read a first state.

--- a/knapweedlead/mesh/_fleet_state.py
+++ b/knapweedlead/mesh/_fleet_state.py
@@ -52,6 +52,10 @@
     evacuated : frozenset of str
         Data centres that are out of service.
     member_by_name : dict of str to Member
+        Daemons whose lease is valid.
+    known_names : frozenset of str
+        Daemons that have been registered, including those whose lease has ended but
+        that are not known to be gone.
     """
 
     position: StorePosition = StorePosition()
@@ -59,6 +63,12 @@
     configuration_position: StorePosition = StorePosition()
     evacuated: frozenset[str] = frozenset()
     member_by_name: dict[str, Member] = attrs.field(factory=dict)
+    known_names: frozenset[str] = frozenset()
+
+    @property
+    def names(self) -> frozenset[str]:
+        """Names of all daemons that may be running."""
+        return self.known_names.union(self.member_by_name)
 
 
 @attrs.frozen
@@ -79,6 +89,9 @@
         Members added or changed.
     left : tuple of str
         Names of members whose lease has ended.
+    remembered, forgotten : tuple of str
+        Names of daemons that have been registered for the first time, and that are
+        known to be gone.
     """
 
     position: StorePosition
@@ -88,6 +101,8 @@
     returned: tuple[str, ...] = ()
     joined: tuple[Member, ...] = ()
     left: tuple[str, ...] = ()
+    remembered: tuple[str, ...] = ()
+    forgotten: tuple[str, ...] = ()
 
 
 def apply_change(state: FleetState, change: FleetChange) -> FleetState:
@@ -106,6 +121,9 @@
         configuration_position=configuration_position,
         evacuated=evacuated | frozenset(change.evacuated),
         member_by_name=member_by_name,
+        known_names=state.known_names.difference(change.forgotten).union(
+            change.remembered
+        ),
     )
 
 
--- a/knapweedlead/mesh/_quotas.py
+++ b/knapweedlead/mesh/_quotas.py
@@ -62,13 +62,18 @@
         self.local_name = local_name
         self.window = window
         self.started_at = started_at
+        self.has_share = True
         self._members: frozenset[str] = frozenset({local_name})
         self._bucket_by_account: dict[str, _Bucket] = {}
         self._retry_at_by_account: dict[str, float] = {}
         self._holders_by_account: dict[ClientAccount, Holders] = {}
 
     def set_members(
-        self, members: frozenset[str], now: float, by_name: dict[str, ClientAccount]
+        self,
+        members: frozenset[str],
+        now: float,
+        by_name: dict[str, ClientAccount],
+        has_share: bool = True,
     ) -> None:
         """Set the daemons among which the rates are divided, and the accounts.
 
@@ -79,6 +84,9 @@
         now : float
         by_name : dict of str to ClientAccount
             Current accounts; the state of other accounts is discarded.
+        has_share : bool
+            Whether this daemon may use its share. If not, it has no tokens but those
+            that it borrows.
         """
         members |= {self.local_name}
         for name in self._bucket_by_account.keys() - by_name.keys():
@@ -87,6 +95,7 @@
         # refilled up to now with the previous holders.
         for account in by_name.values():
             self._refill(account, now)
+        self.has_share = has_share
         if len(self._holders_by_account) > len(by_name):
             current = frozenset(by_name.values())
             for account in self._holders_by_account.keys() - current:
@@ -198,7 +207,7 @@
         if now > bucket.borrowed_until:
             bucket.borrowed = 0.0
         holders = self.holders(account)
-        if self.local_name in holders:
+        if self.has_share and self.local_name in holders:
             capacity = _fleet_capacity(account) / len(holders)
             earned = elapsed * self._refill_rate(account) / len(holders)
             bucket.tokens = min(max(1.0, capacity), bucket.tokens + earned)
--- a/knapweedlead/mesh/_retry_budget.py
+++ b/knapweedlead/mesh/_retry_budget.py
@@ -32,6 +32,7 @@
         self.share = share
         self.cap = cap
         self.daemon_count = 1
+        """Daemons that share the budget; 0 if they are not known."""
         self._balance_by_service: dict[str, _Balance] = {}
 
     def record_first_attempt(self, service: str) -> None:
@@ -50,6 +51,8 @@
 
     @property
     def _local_cap(self) -> float:
+        if not self.daemon_count:
+            return 1.0
         return max(1.0, self.cap / self.daemon_count)
 
     def _balance(self, service: str) -> _Balance:
--- a/knapweedlead/platform/_keys.py
+++ b/knapweedlead/platform/_keys.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+from collections.abc import Iterable
 from typing import Any
 
 import attrs
@@ -13,6 +14,8 @@
 CONFIGURATION_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
 MEMBER_PREFIX = "members/"
+ROSTER_PREFIX = "roster/"
+"""Keys without a lease, which outlive the leases of the members."""
 _MEMBER_FIELDS = tuple(field.name for field in attrs.fields(Member))
 UNDECODABLE = b"{}"
 """Document without a version, in place of a configuration that is not base64."""
@@ -37,6 +40,7 @@
     configuration_position = StorePosition()
     evacuated: dict[str, bool] = {}
     members: dict[str, Member | None] = {}
+    is_known_by_name: dict[str, bool] = {}
     for entry in entries:
         key = entry.get("key") if isinstance(entry, dict) else None
         if not isinstance(key, str):
@@ -56,6 +60,10 @@
             value = entry.get("value")
             if _is_name(name):
                 members[name] = None if is_deleted else _decode_member(name, value)
+        elif key.startswith(ROSTER_PREFIX):
+            name = key.removeprefix(ROSTER_PREFIX)
+            if _is_name(name):
+                is_known_by_name[name] = not is_deleted
     return FleetChange(
         position=position,
         configuration=configuration,
@@ -68,6 +76,8 @@
         ),
         joined=tuple(member for member in members.values() if member is not None),
         left=tuple(name for name, member in members.items() if member is None),
+        remembered=tuple(n for n, is_known in is_known_by_name.items() if is_known),
+        forgotten=tuple(n for n, is_known in is_known_by_name.items() if not is_known),
     )
 
 
@@ -105,6 +115,24 @@
     return member if member.name == name else None
 
 
+def encode_roster_entry(name: str) -> dict[str, Any]:
+    """Return the write that keeps a member's name when its lease ends."""
+    return {"key": ROSTER_PREFIX + name, "value": "", "lease": 0}
+
+
+def encode_removal(names: Iterable[str]) -> dict[str, Any]:
+    """Return the transaction that removes names from the roster.
+
+    Its condition is that none of them is registered.
+    """
+    listed = list(names)
+    return {
+        "expect": [{"key": MEMBER_PREFIX + name, "revision": 0} for name in listed],
+        "puts": [],
+        "remove": [ROSTER_PREFIX + name for name in listed],
+    }
+
+
 def encode_member(member: Member, lease: int) -> dict[str, Any]:
     """Return the write that registers a member for as long as a lease lasts."""
     value = json.dumps(attrs.asdict(member)).encode()
--- a/knapweedlead/platform/_store.py
+++ b/knapweedlead/platform/_store.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from functools import partial
 from typing import Any, TypeVar
 from urllib.parse import urlencode
@@ -22,7 +22,12 @@
     StorePurpose,
     apply_change,
 )
-from knapweedlead.platform._keys import decode_changes, encode_member
+from knapweedlead.platform._keys import (
+    decode_changes,
+    encode_member,
+    encode_removal,
+    encode_roster_entry,
+)
 from knapweedlead.positions import EraTracker, StorePosition
 
 WATCH_MARGIN = 1.0
@@ -186,12 +191,27 @@
 
     async def register(self, member: Member, lease: int) -> Result[int, StoreError]:
         """Register a member for as long as a lease lasts; return the store's era."""
-        body = {"expect": [], "puts": [encode_member(member, lease)], "remove": []}
+        puts = [encode_member(member, lease), encode_roster_entry(member.name)]
+        body = {"expect": [], "puts": puts, "remove": []}
         result = await self._call(
             "POST", "/-/kv-txn", body, StorePurpose.REGISTRATION, self.timeout
         )
         return result.map(lambda reply: reply.era)
 
+    async def forget(self, names: Iterable[str]) -> Result[None, StoreError]:
+        """Remove daemons that are gone from the roster.
+
+        The fault is ``CONFLICT`` if one of them is registered.
+        """
+        result = await self._call(
+            "POST",
+            "/-/kv-txn",
+            encode_removal(names),
+            StorePurpose.REGISTRATION,
+            self.timeout,
+        )
+        return result if isinstance(result, Err) else Ok(None)
+
     def set_address(self, address: str) -> None:
         """Set the address of further calls; a change closes all connections."""
         if address != self.address:
--- a/knapweedlead/platform/tests/fleets.py
+++ b/knapweedlead/platform/tests/fleets.py
@@ -77,6 +77,8 @@
 }
 
 
+PLACES = tuple(itertools.product(("front", "deep"), ("north", "south")))
+"""Service and data centre of each daemon; the store knows them from an earlier run."""
 MIN_TOKENS = 50.0
 """Tokens a daemon must have accumulated to be ready, since it starts with none."""
 
@@ -97,9 +99,9 @@
     async def __aenter__(self):
         await self.store.start(self.store_address)
         self.store.write("op/config", json.dumps(CONFIGURATION).encode())
-        for index, (service, zone) in enumerate(
-            itertools.product(("front", "deep"), ("north", "south"))
-        ):
+        for index in range(len(PLACES)):
+            self.store.write(f"roster/daemon-{index}", b"")
+        for index, (service, zone) in enumerate(PLACES):
             await self.add(index, service, zone)
         await self.wait_until(lambda: all(self.is_ready(s) for s in self.sidecars))
         return self
--- a/knapweedlead/platform/tests/standin_store.py
+++ b/knapweedlead/platform/tests/standin_store.py
@@ -35,6 +35,8 @@
     fault : str
         Empty, ``"busy"`` (status 503), ``"many"`` (status 429), ``"silent"`` (neither
         executed nor answered) or ``"lost"`` (writes are executed, but not answered).
+    write_delay_by_key : dict of str to float
+        Seconds by which transactions that write a key are executed late.
     era : int or str or None
         Value of the header that states the era; None for a store without eras.
     """
@@ -43,6 +45,7 @@
         self.fault = ""
         self.malformed_answer = b"[]"
         self.calls = []
+        self.write_delay_by_key = {}
         self.era = 1
         self.revision = 10
         self.oldest = 0
@@ -163,6 +166,9 @@
         if name == "kv-watch":
             return await self._watch(query)
         if name == "kv-txn":
+            delays = [self.write_delay_by_key.get(p["key"], 0.0) for p in body["puts"]]
+            if any(delays):
+                await asyncio.sleep(max(delays))
             return self._transact(body)
         if name == "kv-lease":
             return self._grant(body)
--- a/knapweedlead/sidecar/_fleet_tracker.py
+++ b/knapweedlead/sidecar/_fleet_tracker.py
@@ -88,12 +88,14 @@
         self.rng = rng
         self.state = FleetState()
         self.is_watching = False
-        self.roster = Roster()
+        self.roster = Roster(local_member.name)
         self.relay_choice = RelayChoice(local_member.name)
         self._request_pending_until = -math.inf
         self._kept_evacuations: frozenset[str] = frozenset()
         self._era_began_at = -math.inf
         self._is_reachable_by_step: dict[str, bool] = {}
+        entry.quotas.has_share = False
+        entry.retry_budget.daemon_count = 0
 
     @property
     def freshness(self) -> Freshness:
@@ -180,8 +182,12 @@
                 revision=state.position.revision,
                 source=source,
             )
-        if state.member_by_name != known.member_by_name:
-            self._apply_members(state.member_by_name, source, now)
+        if (
+            not known.position.revision
+            or state.member_by_name != known.member_by_name
+            or state.known_names != known.known_names
+        ):
+            self._apply_members(state, source, now)
 
     @property
     def _evacuated(self) -> frozenset[str]:
@@ -309,23 +315,42 @@
                     version=after.version,
                 )
 
-    def _apply_members(
-        self, by_name: dict[str, Member], source: str, now: float
-    ) -> None:
-        self.roster.replace(by_name, now)
+    def _apply_members(self, state: FleetState, source: str, now: float) -> None:
+        by_name = state.member_by_name
+        self.roster.replace(by_name, state.known_names, now)
         self.links.set_members(by_name)
         self.divide_quotas(now)
-        self.recorder.log("members", count=len(by_name), source=source)
+        self.recorder.log(
+            "members", count=len(by_name), known=len(state.names), source=source
+        )
 
     def divide_quotas(self, now: float) -> None:
-        """Divide quotas and retry budgets among the daemons that may admit calls."""
+        """Divide quotas and retry budgets among the daemons that may admit calls.
+
+        A list that is not known to be whole divides nothing.
+        """
         linked = frozenset(link.name for link in self.links.open_links())
         members = self.roster.names(now) | linked
+        is_whole = self.roster.is_whole(now)
+        quotas = self.entry.quotas
+        if is_whole != quotas.has_share:
+            self.recorder.log("rates_divided", daemons=len(members), is_whole=is_whole)
         configuration = self.entry.configuration
-        if configuration is not None:
-            accounts = configuration.account_by_name
-            self.entry.quotas.set_members(members, now, accounts)
-        self.entry.retry_budget.daemon_count = max(1, len(members))
+        accounts = {} if configuration is None else configuration.account_by_name
+        quotas.set_members(members, now, accounts, is_whole)
+        self.entry.retry_budget.daemon_count = len(members) if is_whole else 0
+
+    def gone_members(self) -> list[str]:
+        """Return the daemons that have been without a lease for so long to be gone."""
+        return self.roster.gone_names(self.clock())
+
+    def forget_members(self, names: list[str]) -> None:
+        """Record that daemons are not in the store's roster any more."""
+        known_names = self.state.known_names.difference(names)
+        self.state = attrs.evolve(self.state, known_names=known_names)
+        now = self.clock()
+        self.roster.replace(self.state.member_by_name, known_names, now)
+        self.recorder.log("members_gone", names=",".join(sorted(names)))
 
     # Confirmations.
 
--- a/knapweedlead/sidecar/_frame_decoders.py
+++ b/knapweedlead/sidecar/_frame_decoders.py
@@ -236,6 +236,8 @@
     """
     revision, configuration_revision, compressed, evacuated, rows = frame[1:6]
     era, configuration_era = _appended(frame, 6, 2)
+    members = _decode_members(rows)
+    unlisted = _names_at(frame, 8)
     position = _position(era, revision)
     configuration_position = _position(configuration_era, configuration_revision)
     configuration = known.configuration
@@ -248,10 +250,17 @@
         configuration=configuration,
         configuration_position=configuration_position,
         evacuated=frozenset(map(check_name, check_list(evacuated))),
-        member_by_name={member.name: member for member in _decode_members(rows)},
+        member_by_name={member.name: member for member in members},
+        known_names=frozenset(member.name for member in members).union(unlisted),
     )
 
 
+def _names_at(frame: list[Any], index: int) -> tuple[str, ...]:
+    """Return an appended list of names; empty if an earlier version lacks it."""
+    names = frame[index] if len(frame) > index else []
+    return tuple(map(check_name, check_list(names)))
+
+
 def _decompressed(compressed: bytes) -> bytes:
     decompressor = zlib.decompressobj()
     data = decompressor.decompress(compressed, MAX_CONFIGURATION_BYTES)
@@ -288,6 +297,8 @@
         returned=tuple(map(check_name, check_list(returned))),
         joined=tuple(_decode_members(rows)),
         left=tuple(map(check_name, check_list(left))),
+        remembered=_names_at(frame, 11),
+        forgotten=_names_at(frame, 12),
     )
     return _position(base_era, base), change
 
--- a/knapweedlead/sidecar/_store_sync.py
+++ b/knapweedlead/sidecar/_store_sync.py
@@ -39,6 +39,9 @@
 hold the registration."""
 REWRITE_SPREAD = 1.0
 """Seconds over which the daemons of a fleet spread their registrations after that."""
+MAX_FORGOTTEN = 16
+"""Daemons that one call removes from the roster; each takes two of the 32 entries that
+the store accepts in a call."""
 RELAY_CHECK_PERIOD = 0.1
 """Seconds between checks whether this daemon is to watch the store."""
 
@@ -65,6 +68,12 @@
     def confirm(self, requested_at: float, position: StorePosition) -> None:
         """Record that the store's newest position at `requested_at` was `position`."""
 
+    def gone_members(self) -> list[str]:
+        """Return the daemons that have been without a lease for so long to be gone."""
+
+    def forget_members(self, names: list[str]) -> None:
+        """Record that daemons are not in the store's roster any more."""
+
     def set_watching(self, is_watching: bool) -> None:
         """Record whether the store answers this daemon's watch."""
 
@@ -141,6 +150,13 @@
                 await asyncio.sleep(self._retry_delay(step))
 
     async def _keep_registered(self) -> None:
+        """Stay registered, once a first state is known.
+
+        Whether that state names this daemon tells if an earlier process of the same
+        name was registered.
+        """
+        while not self._lease and not self.host.state.position.revision:
+            await asyncio.sleep(RELAY_CHECK_PERIOD)
         while True:
             is_registered = await (self._renew() if self._lease else self._register())
             if is_registered:
@@ -264,8 +280,21 @@
         self.host.apply_store_change(base, changed.ok_value)
         self.host.confirm(requested_at, position)
         self.host.set_watching(True)
+        await self._forget_gone()
         return True
 
+    async def _forget_gone(self) -> None:
+        """Remove daemons that are gone from the roster."""
+        names = self.host.gone_members()[:MAX_FORGOTTEN]
+        if not names:
+            return
+        forgotten = await self.store.forget(names)
+        if isinstance(forgotten, Err):
+            self._record_failure("forget", forgotten.err_value)
+            return
+        self._record_success("forget")
+        self.host.forget_members(names)
+
     async def _handle_watch_failure(self, error: StoreError) -> None:
         self.host.set_watching(False)
         self._record_failure("watch", error)
--- a/knapweedlead/sidecar/_wire.py
+++ b/knapweedlead/sidecar/_wire.py
@@ -146,6 +146,7 @@
         [list(attrs.astuple(member)) for member in state.member_by_name.values()],
         state.position.era,
         state.configuration_position.era,
+        sorted(state.known_names.difference(state.member_by_name)),
     ]
 
 
@@ -172,6 +173,8 @@
         base.era,
         change.position.era,
         change.configuration_position.era,
+        list(change.remembered),
+        list(change.forgotten),
     ]
 
 
--- a/knapweedlead/sidecar/tests/test_control_traffic.py
+++ b/knapweedlead/sidecar/tests/test_control_traffic.py
@@ -176,11 +176,18 @@
         StorePosition(1, 5),
         frozenset({"north"}),
         {MEMBER.name: MEMBER},
+        frozenset({MEMBER.name, "daemon-8"}),
     )
     frame = fleet_state_frame(fleet, StorePosition())
     frame[5] = [[*row, "added"] for row in frame[5]]
     assert decode_fleet_state([*frame, "added"], FleetState()) == fleet
-    change = FleetChange(StorePosition(1, 8), joined=(MEMBER,), left=("daemon-1",))
+    change = FleetChange(
+        StorePosition(1, 8),
+        joined=(MEMBER,),
+        left=("daemon-1",),
+        remembered=("daemon-9",),
+        forgotten=("daemon-7",),
+    )
     frame = change_frame(StorePosition(1, 5), change)
     frame[6] = [[*row, "added"] for row in frame[6]]
     assert decode_change([*frame, "added"]) == (StorePosition(1, 5), change)
--- a/knapweedlead/sidecar/tests/test_fleet_tracker.py
+++ b/knapweedlead/sidecar/tests/test_fleet_tracker.py
@@ -111,9 +111,8 @@
 
 
 def test_fleet_state_frame_round_trips_with_and_without_the_configuration(tracker):
-    tracker.fleet.apply_peer_change(
-        at(5), FleetChange(at(6), joined=(MEMBER,)), "daemon-1"
-    )
+    change = FleetChange(at(6), joined=(MEMBER,), remembered=(MEMBER.name, "daemon-8"))
+    tracker.fleet.apply_peer_change(at(5), change, "daemon-1")
     state = tracker.fleet.state
     assert (
         decode_fleet_state(fleet_state_frame(state, StorePosition()), FleetState())
