A leave is acknowledged once the store has it, so that it outlives all daemons

Cause: what has left was known only in the memory of the daemons, and the first heartbeat after a start was taken as it is. Ruled out: the order of heartbeats within one process, and the peers' memory, which holds while one of them lives.

Change: each start that leaves is written under a key of its own, without a lease, with its instance and start time. A heartbeat or deregistration that states a leave is acknowledged when the store has the key, else refused with 503 after 0.9 s while the write is tried further; the server is closed at once in any case. A daemon learns the keys together with its configuration, from the store or from a peer, before it opens the server beside it. A start of another time is served at once. After a drill of the store the keys are written again.

--- a/knapweedlead/mesh/__init__.py
+++ b/knapweedlead/mesh/__init__.py
@@ -30,11 +30,14 @@
 from knapweedlead.mesh._entry import Entry
 from knapweedlead.mesh._entry_calls import EntryCall, EntrySettings
 from knapweedlead.mesh._fleet_state import (
+    DepartedStart,
     FleetChange,
     FleetState,
     Member,
     apply_change,
+    checked_departure,
     checked_member,
+    departure_key,
 )
 from knapweedlead.mesh._freshness import Freshness
 from knapweedlead.mesh._guard import Guard
@@ -65,6 +68,8 @@
 from knapweedlead.mesh._tickets import Sender, ServerState, Ticket
 
 __all__ = [
+    "checked_departure",
+    "departure_key",
     "FINGERPRINT_BYTES",
     "MAX_CLOCK_LEAD",
     "PROBE_PERIOD",
@@ -83,6 +88,7 @@
     "ClientAccount",
     "ColdStartLimiter",
     "DemandExchange",
+    "DepartedStart",
     "Departures",
     "DemandSum",
     "Entry",
--- a/knapweedlead/mesh/_departures.py
+++ b/knapweedlead/mesh/_departures.py
@@ -29,6 +29,14 @@
         check_parameters(self)
         self._starts: dict[tuple[str, int], None] = {}
 
+    def remember(self, start: tuple[str, int]) -> None:
+        """Remember that a start leaves; one without a known start time is ignored."""
+        if not start[1]:
+            return
+        self._starts[start] = None
+        if len(self._starts) > self.max_count:
+            del self._starts[next(iter(self._starts))]
+
     def apply(self, state: ServerState) -> ServerState:
         """Remember a departure in a state, or correct a state that ignores one.
 
@@ -41,9 +49,7 @@
             return state
         start = state.instance, state.born
         if state.is_leaving:
-            self._starts[start] = None
-            if len(self._starts) > self.max_count:
-                del self._starts[next(iter(self._starts))]
+            self.remember(start)
         elif start in self._starts:
             return attrs.evolve(state, is_open=False, is_leaving=True)
         return state
--- a/knapweedlead/mesh/_fleet_state.py
+++ b/knapweedlead/mesh/_fleet_state.py
@@ -1,13 +1,16 @@
 """Fleet-wide state from the store, and changes to it."""
 
+import hashlib
 from collections.abc import Iterable
-from typing import Any
+from typing import Any, TypeVar
 
 import attrs
 
-from knapweedlead.checks import check_address, check_name
+from knapweedlead.checks import check_address, check_count, check_name
 from knapweedlead.positions import StorePosition
 
+_Value = TypeVar("_Value")
+
 
 @attrs.frozen
 class Member:
@@ -37,6 +40,49 @@
     )
 
 
+@attrs.frozen
+class DepartedStart:
+    """A start of a backend server that is known to leave, or to have left.
+
+    Parameters
+    ----------
+    instance : str
+    born : int
+        Start time in milliseconds since the epoch; 0 if unknown.
+    left_ms : int
+        Time of day at which this became known, in milliseconds since the epoch.
+    """
+
+    instance: str
+    born: int
+    left_ms: int
+
+    def includes(self, instance: str, born: int) -> bool:
+        """Return whether a start is the departed one.
+
+        If only the instance is known, it is each start of that name that had begun.
+        """
+        if instance != self.instance:
+            return False
+        return born == self.born if self.born else born <= self.left_ms
+
+
+def checked_departure(instance: Any, born: Any, left_ms: Any) -> DepartedStart:
+    """Return a departure from fields that another program has written.
+
+    Raises
+    ------
+    ValueError
+    """
+    return DepartedStart(check_name(instance), check_count(born), check_count(left_ms))
+
+
+def departure_key(daemon: str, start: DepartedStart) -> str:
+    """Return the key of a departure at a daemon, the same for each record of it."""
+    text = f"{start.born} {start.instance}".encode("utf-8", "surrogatepass")
+    return f"{daemon}/{hashlib.blake2s(text, digest_size=8).hexdigest()}"
+
+
 @attrs.frozen
 class FleetState:
     """Configuration, evacuated data centres and members, as of a store position.
@@ -56,6 +102,8 @@
     known_names : frozenset of str
         Daemons that have been registered, including those whose lease has ended but
         that are not known to be gone.
+    departure_by_key : dict of str to DepartedStart
+        Starts of backend servers that have left, by `departure_key`.
     """
 
     position: StorePosition = StorePosition()
@@ -64,6 +112,15 @@
     evacuated: frozenset[str] = frozenset()
     member_by_name: dict[str, Member] = attrs.field(factory=dict)
     known_names: frozenset[str] = frozenset()
+    departure_by_key: dict[str, DepartedStart] = attrs.field(factory=dict)
+
+    def departures_at(self, daemon: str) -> dict[str, DepartedStart]:
+        """Return the departures of the backend server beside a daemon, by key."""
+        return {
+            key: start
+            for key, start in self.departure_by_key.items()
+            if key.rpartition("/")[0] == daemon
+        }
 
     @property
     def names(self) -> frozenset[str]:
@@ -92,6 +149,10 @@
     remembered, forgotten : tuple of str
         Names of daemons that have been registered for the first time, and that are
         known to be gone.
+    departed : dict of str to DepartedStart
+        Departures that were recorded, by key.
+    dropped : tuple of str
+        Keys of departures that were removed.
     """
 
     position: StorePosition
@@ -103,6 +164,8 @@
     left: tuple[str, ...] = ()
     remembered: tuple[str, ...] = ()
     forgotten: tuple[str, ...] = ()
+    departed: dict[str, DepartedStart] = attrs.field(factory=dict)
+    dropped: tuple[str, ...] = ()
 
 
 def apply_change(state: FleetState, change: FleetChange) -> FleetState:
@@ -124,9 +187,11 @@
         known_names=state.known_names.difference(change.forgotten).union(
             change.remembered
         ),
+        departure_by_key=_without(state.departure_by_key, change.dropped)
+        | change.departed,
     )
 
 
-def _without(by_name: dict[str, Member], names: Iterable[str]) -> dict[str, Member]:
+def _without(by_name: dict[str, _Value], names: Iterable[str]) -> dict[str, _Value]:
     removed = set(names)
-    return {name: member for name, member in by_name.items() if name not in removed}
+    return {name: value for name, value in by_name.items() if name not in removed}
--- a/knapweedlead/mesh/_guard.py
+++ b/knapweedlead/mesh/_guard.py
@@ -1,12 +1,13 @@
 """Guard: decides which calls the local backend server receives."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from knapweedlead.admission import QUEUES, QueuedCall
 from knapweedlead.mesh._calls import Failure, Reason, ServerAnswer
 from knapweedlead.mesh._configuration import MeshConfiguration
 from knapweedlead.mesh._demand import DemandModel
+from knapweedlead.mesh._fleet_state import DepartedStart
 from knapweedlead.mesh._quarantine import RequestQuarantine
 from knapweedlead.mesh._reports import ServerReport
 from knapweedlead.mesh._server_ends import ServerEnds
@@ -105,6 +106,11 @@
             return False
         return self.record_leave(instance, now)
 
+    def apply_departures(self, departed: Iterable[DepartedStart], now: float) -> None:
+        """Apply the starts of the server that have left, as the store has them."""
+        if self.monitor.server.set_departed(departed):
+            self._changed(now)
+
     def apply_configuration(
         self,
         configuration: MeshConfiguration,
--- a/knapweedlead/mesh/_reports.py
+++ b/knapweedlead/mesh/_reports.py
@@ -1,9 +1,12 @@
 """Heartbeats of a backend server, and the rules by which they are accepted."""
 
 import math
+from collections.abc import Iterable
 
 import attrs
 
+from knapweedlead.mesh._fleet_state import DepartedStart
+
 LEAVE_RETENTION = 60.0
 """Seconds for which the leave of an unknown instance is kept. Heartbeats arrive seconds
 late, and a leaving server may keep running for many seconds."""
@@ -73,6 +76,8 @@
         Times at which unknown instances left, i.e. instances other than that of
         `report`. A daemon that has restarted may receive late heartbeats of such an
         instance.
+    departed : tuple of DepartedStart
+        Starts of this server that are known to have left, from the store.
     """
 
     report: ServerReport | None = None
@@ -80,6 +85,7 @@
     cold_until: float = -math.inf
     has_left: bool = False
     left_at_by_instance: dict[str, float] = attrs.field(factory=dict)
+    departed: tuple[DepartedStart, ...] = ()
 
     def apply_report(self, report: ServerReport, now: float) -> bool:
         """Apply a report unless it is older than the current one.
@@ -97,7 +103,9 @@
             if not is_new_start and report.sequence <= current.sequence:
                 return False
         if is_new_start:
-            self.has_left = self._is_late_report(report, now)
+            self.has_left = self._is_late_report(report, now) or self._has_departed(
+                report
+            )
             self.cold_until = -math.inf
         self.report = report
         self.reported_at = now
@@ -119,6 +127,18 @@
         self.has_left = True
         return True
 
+    def set_departed(self, departed: Iterable[DepartedStart]) -> bool:
+        """Set the starts that have left; return whether that closes the present one."""
+        self.departed = tuple(departed)
+        had_left = self.has_left
+        self.has_left = had_left or (
+            self.report is not None and self._has_departed(self.report)
+        )
+        return self.has_left != had_left
+
+    def _has_departed(self, report: ServerReport) -> bool:
+        return any(start.includes(*report.start) for start in self.departed)
+
     def _is_late_report(self, report: ServerReport, now: float) -> bool:
         """Return whether a report is a late heartbeat of an instance that has left."""
         left_at = self.left_at_by_instance.get(report.instance, -math.inf)
--- a/knapweedlead/mesh/_server_monitor.py
+++ b/knapweedlead/mesh/_server_monitor.py
@@ -118,7 +118,10 @@
                 return False
             if self._is_implausible and not is_implausible:
                 left_at = self.server.left_at_by_instance
-                self.server = BackendServer(left_at_by_instance=left_at)
+                departed = self.server.departed
+                self.server = BackendServer(
+                    left_at_by_instance=left_at, departed=departed
+                )
         if not self.server.apply_report(report, now):
             return False
         if previous is None or is_other_start:
--- a/knapweedlead/mesh/_store.py
+++ b/knapweedlead/mesh/_store.py
@@ -12,6 +12,7 @@
     WATCH = "watch"
     REGISTRATION = "registration"
     RENEWAL = "renewal"
+    DEPARTURE = "departure"
 
 
 @attrs.frozen
--- a/knapweedlead/platform/_keys.py
+++ b/knapweedlead/platform/_keys.py
@@ -8,11 +8,18 @@
 import attrs
 
 from knapweedlead.checks import check_count, check_name
-from knapweedlead.mesh import FleetChange, Member, checked_member
+from knapweedlead.mesh import (
+    DepartedStart,
+    FleetChange,
+    Member,
+    checked_departure,
+    checked_member,
+)
 from knapweedlead.positions import StorePosition
 
 CONFIGURATION_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
+DEPARTURE_PREFIX = "leaves/"
 MEMBER_PREFIX = "members/"
 ROSTER_PREFIX = "roster/"
 """Keys without a lease, which outlive the leases of the members."""
@@ -41,6 +48,7 @@
     evacuated: dict[str, bool] = {}
     members: dict[str, Member | None] = {}
     is_known_by_name: dict[str, bool] = {}
+    departures: dict[str, DepartedStart | None] = {}
     for entry in entries:
         key = entry.get("key") if isinstance(entry, dict) else None
         if not isinstance(key, str):
@@ -64,6 +72,11 @@
             name = key.removeprefix(ROSTER_PREFIX)
             if _is_name(name):
                 is_known_by_name[name] = not is_deleted
+        elif key.startswith(DEPARTURE_PREFIX):
+            name = key.removeprefix(DEPARTURE_PREFIX)
+            if _is_name(name):
+                value = entry.get("value")
+                departures[name] = None if is_deleted else _decode_departure(value)
     return FleetChange(
         position=position,
         configuration=configuration,
@@ -78,6 +91,8 @@
         left=tuple(name for name, member in members.items() if member is None),
         remembered=tuple(n for n, is_known in is_known_by_name.items() if is_known),
         forgotten=tuple(n for n, is_known in is_known_by_name.items() if not is_known),
+        departed={key: start for key, start in departures.items() if start is not None},
+        dropped=tuple(key for key, start in departures.items() if start is None),
     )
 
 
@@ -115,6 +130,27 @@
     return member if member.name == name else None
 
 
+def _decode_departure(value: Any) -> DepartedStart | None:
+    try:
+        document = json.loads(_decode_value(value))
+        return checked_departure(
+            document["instance"], document["born"], document["leftMs"]
+        )
+    except (ValueError, TypeError, KeyError, RecursionError):
+        return None
+
+
+def encode_departure(key: str, start: DepartedStart) -> dict[str, Any]:
+    """Return the write that records a departure for good."""
+    document = {
+        "instance": start.instance,
+        "born": start.born,
+        "leftMs": start.left_ms,
+    }
+    value = base64.b64encode(json.dumps(document).encode()).decode("ascii")
+    return {"key": DEPARTURE_PREFIX + key, "value": value, "lease": 0}
+
+
 def encode_roster_entry(name: str) -> dict[str, Any]:
     """Return the write that keeps a member's name when its lease ends."""
     return {"key": ROSTER_PREFIX + name, "value": "", "lease": 0}
--- a/knapweedlead/platform/_store.py
+++ b/knapweedlead/platform/_store.py
@@ -15,6 +15,7 @@
 from knapweedlead.errors import StoreError, StoreFault
 from knapweedlead.http import BackendServerClient, HttpAnswer
 from knapweedlead.mesh import (
+    DepartedStart,
     FleetChange,
     FleetState,
     LeaseGrant,
@@ -23,7 +24,9 @@
     apply_change,
 )
 from knapweedlead.platform._keys import (
+    DEPARTURE_PREFIX,
     decode_changes,
+    encode_departure,
     encode_member,
     encode_removal,
     encode_roster_entry,
@@ -198,6 +201,20 @@
         )
         return result.map(lambda reply: reply.era)
 
+    async def record_departures(
+        self, by_key: dict[str, DepartedStart], outdated: Iterable[str]
+    ) -> Result[None, StoreError]:
+        """Record departures for good, and remove those with outdated keys."""
+        body = {
+            "expect": [],
+            "puts": [encode_departure(key, start) for key, start in by_key.items()],
+            "remove": [DEPARTURE_PREFIX + key for key in outdated],
+        }
+        result = await self._call(
+            "POST", "/-/kv-txn", body, StorePurpose.DEPARTURE, self.timeout
+        )
+        return result if isinstance(result, Err) else Ok(None)
+
     async def forget(self, names: Iterable[str]) -> Result[None, StoreError]:
         """Remove daemons that are gone from the roster.
 
--- a/knapweedlead/sidecar/_fleet_tracker.py
+++ b/knapweedlead/sidecar/_fleet_tracker.py
@@ -8,6 +8,7 @@
 from result import Err
 
 from knapweedlead.mesh import (
+    Departures,
     Entry,
     FleetChange,
     FleetState,
@@ -21,6 +22,7 @@
 )
 from knapweedlead.platform import decode_configuration
 from knapweedlead.positions import StorePosition
+from knapweedlead.sidecar._departure_log import DepartureLog
 from knapweedlead.sidecar._links import Links
 from knapweedlead.sidecar._listeners import CallerListener
 from knapweedlead.sidecar._recorder import MeshRecorder
@@ -58,6 +60,8 @@
     recorder : MeshRecorder
     clock : callable
     rng : random.Random
+    departures : Departures
+    departure_log : DepartureLog
 
     Attributes
     ----------
@@ -77,7 +81,11 @@
         recorder: MeshRecorder,
         clock: Callable[[], float],
         rng: random.Random,
+        departures: Departures,
+        departure_log: DepartureLog,
     ) -> None:
+        self.departures = departures
+        self.departure_log = departure_log
         self.local_member = local_member
         self.entry = entry
         self.guard = guard
@@ -127,6 +135,8 @@
         kept: frozenset[str] = frozenset()
         if state.position.era > known.position.era:
             kept = self._evacuated - state.evacuated
+            departures = known.departure_by_key | state.departure_by_key
+            state = attrs.evolve(state, departure_by_key=departures)
         elif now - self._era_began_at <= RESTORE_GRACE:
             kept = self._kept_evacuations - state.evacuated
         self._apply_newer(state, kept, source, now)
@@ -135,6 +145,7 @@
         """Record that the store has come back from a copy."""
         before, after = self.state.position, state.position
         self._era_began_at = now
+        self.departure_log.restore()
         self.recorder.count("store.eras")
         self.recorder.log(
             "store_restored",
@@ -171,6 +182,8 @@
     ) -> None:
         known, evacuated_before = self.state, self._evacuated
         self.state, self._kept_evacuations = state, kept
+        if state.departure_by_key != known.departure_by_key:
+            self._apply_departures(state, now)
         if state.configuration_position != known.configuration_position:
             self._apply_configuration(known, source)
         self._inform_guard(now)
@@ -189,6 +202,13 @@
         ):
             self._apply_members(state, source, now)
 
+    def _apply_departures(self, state: FleetState, now: float) -> None:
+        by_key = state.departures_at(self.local_member.name)
+        self.departure_log.learn(by_key)
+        self.guard.apply_departures(by_key.values(), now)
+        for start in state.departure_by_key.values():
+            self.departures.remember((start.instance, start.born))
+
     @property
     def _evacuated(self) -> frozenset[str]:
         """Data centres out of service, by the store's state or kept over its return."""
--- a/knapweedlead/sidecar/_frame_decoders.py
+++ b/knapweedlead/sidecar/_frame_decoders.py
@@ -27,6 +27,7 @@
     AttemptTimes,
     Completion,
     DemandSum,
+    DepartedStart,
     Failure,
     FleetChange,
     FleetState,
@@ -40,6 +41,7 @@
     ServerEnd,
     ServerState,
     Ticket,
+    checked_departure,
     checked_member,
 )
 from knapweedlead.positions import MAX_ERA, StorePosition
@@ -69,6 +71,7 @@
 the first one of a link have neither."""
 _SERVER_FIELDS = len(attrs.fields(ServerState))
 _RUN_FIELDS = len(attrs.fields(LostRun))
+_DEPARTURE_FIELDS = 1 + len(attrs.fields(DepartedStart))
 _MEMBER_FIELDS = len(attrs.fields(Member))
 
 
@@ -252,6 +255,7 @@
         evacuated=frozenset(map(check_name, check_list(evacuated))),
         member_by_name={member.name: member for member in members},
         known_names=frozenset(member.name for member in members).union(unlisted),
+        departure_by_key=_departures_at(frame, 9),
     )
 
 
@@ -261,6 +265,15 @@
     return tuple(map(check_name, check_list(names)))
 
 
+def _departures_at(frame: list[Any], index: int) -> dict[str, DepartedStart]:
+    """Return appended departures by key; none if an earlier version lacks them."""
+    rows = frame[index] if len(frame) > index else []
+    return {
+        check_name(key): checked_departure(*fields)
+        for key, *fields in (row[:_DEPARTURE_FIELDS] for row in check_list(rows))
+    }
+
+
 def _decompressed(compressed: bytes) -> bytes:
     decompressor = zlib.decompressobj()
     data = decompressor.decompress(compressed, MAX_CONFIGURATION_BYTES)
@@ -299,6 +312,8 @@
         left=tuple(map(check_name, check_list(left))),
         remembered=_names_at(frame, 11),
         forgotten=_names_at(frame, 12),
+        departed=_departures_at(frame, 13),
+        dropped=_names_at(frame, 14),
     )
     return _position(base_era, base), change
 
--- a/knapweedlead/sidecar/_listeners.py
+++ b/knapweedlead/sidecar/_listeners.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from functools import lru_cache
 from typing import Any, Protocol
 
@@ -124,31 +124,58 @@
 
     recorder: MeshRecorder
 
-    def handle_heartbeat(self, report: ServerReport) -> None:
-        """Handle a heartbeat."""
+    def handle_heartbeat(self, report: ServerReport) -> Awaitable[bool] | None:
+        """Handle a heartbeat.
 
-    def handle_deregistration(self, instance: str) -> None:
-        """Handle the deregistration of one start of the backend server."""
+        Returns
+        -------
+        awaitable of bool or None
+            Whether the leave that it states is recorded, if it has to be awaited.
+        """
+
+    def handle_deregistration(self, instance: str) -> Awaitable[bool] | None:
+        """Handle the deregistration of one start of the backend server.
+
+        Returns the same as `handle_heartbeat`.
+        """
 
 
 class HeartbeatListener:
     """Receives heartbeats and deregistrations; the HTTP answer acknowledges them.
 
     The acknowledgement is written after the frames that tell peers what was received,
-    so that a daemon that is killed right after it has told them.
+    so that a daemon that is killed right after it has told them. A leave is
+    acknowledged once it is recorded where it outlives all daemons, and refused with
+    status 503 if that takes too long; the server sends it again.
     """
 
     def __init__(self, host: HeartbeatHost) -> None:
         self.host = host
         self.server = CallerServer(self._on_request, _ignore, self._on_bad_input)
+        self._tasks: set[asyncio.Task[None]] = set()
 
     def _on_request(self, request: HttpRequest) -> None:
-        status = self._status_of(request)
-        reply = self.server.reply
-        loop = asyncio.get_running_loop()
-        loop.call_soon(reply, request.exchange, status, _JSON, b"{}")
-
-    def _status_of(self, request: HttpRequest) -> int:
+        outcome = self._outcome_of(request)
+        if isinstance(outcome, int):
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._reply, request.exchange, outcome)
+        else:
+            task = asyncio.ensure_future(self._acknowledge(request.exchange, outcome))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _acknowledge(self, exchange: Any, recorded: Awaitable[bool]) -> None:
+        status = 503
+        try:
+            status = 200 if await recorded else 503
+        finally:
+            self._reply(exchange, status)
+
+    def _reply(self, exchange: Any, status: int) -> None:
+        self.server.reply(exchange, status, _JSON, b"{}")
+
+    def _outcome_of(self, request: HttpRequest) -> int | Awaitable[bool]:
+        """Return the status of the answer, or what it depends on."""
         path = request.path.partition("?")[0]
         if request.method == "POST" and path.startswith(HEARTBEAT_PATH):
             instance = path.removeprefix(HEARTBEAT_PATH)
@@ -156,11 +183,10 @@
             if isinstance(decoded, Err):
                 self.host.recorder.bad_input("heartbeat", str(decoded.err_value))
                 return 400
-            self.host.handle_heartbeat(decoded.ok_value)
-            return 200
+            return self.host.handle_heartbeat(decoded.ok_value) or 200
         if request.method == "POST" and path.startswith(DEREGISTER_PATH):
-            self.host.handle_deregistration(path.removeprefix(DEREGISTER_PATH))
-            return 200
+            instance = path.removeprefix(DEREGISTER_PATH)
+            return self.host.handle_deregistration(instance) or 200
         return 404
 
     def _on_bad_input(self, reason: str) -> tuple[int, dict[str, str], bytes]:
--- a/knapweedlead/sidecar/_sidecar.py
+++ b/knapweedlead/sidecar/_sidecar.py
@@ -3,9 +3,11 @@
 import asyncio
 import math
 import random
+from collections.abc import Awaitable
 from functools import partial
 from typing import Any
 
+from knapweedlead.errors import StoreError
 from knapweedlead.http import BufferBudget
 from knapweedlead.mesh import (
     MAX_CLOCK_LEAD,
@@ -14,6 +16,7 @@
     Announcement,
     Call,
     DemandExchange,
+    DepartedStart,
     Departures,
     Entry,
     EntrySettings,
@@ -33,6 +36,7 @@
 )
 from knapweedlead.platform import PlatformStore
 from knapweedlead.sidecar._clock import read_clock, read_time_of_day
+from knapweedlead.sidecar._departure_log import DepartureLog
 from knapweedlead.sidecar._fleet_tracker import FleetTracker
 from knapweedlead.sidecar._links import Links
 from knapweedlead.sidecar._listeners import (
@@ -78,9 +82,13 @@
 """Seconds between the latest deadline of a call that is accepted late in a stop and the
 time at which the daemon stops waiting for answers."""
 
+ACKNOWLEDGEMENT_TIME = 0.9
+"""Seconds that an acknowledgement may wait for the store; the server takes it for one
+if it arrives within a second."""
 PEER_CALL_MEMORY_SHARE = 0.25
 """Fraction of the process's memory for calls from peers that are not answered yet."""
 _BYTES_PER_MB = 1_000_000
+_MS_PER_S = 1000.0
 
 
 class Sidecar:
@@ -164,6 +172,9 @@
             settings.service,
             settings.data_centre,
         )
+        self.departure_log = DepartureLog(
+            settings.name, self.store, rng, self._record_departure_write
+        )
         self.fleet = FleetTracker(
             local_member,
             self.entry,
@@ -173,6 +184,8 @@
             self.recorder,
             self.clock,
             rng,
+            self.departures,
+            self.departure_log,
         )
         self.sync = StoreSync(self.fleet, self.store, local_member)
         self.is_stopping = False
@@ -254,6 +267,7 @@
         while self.clock() < last_end and not self._has_answered_all():
             await asyncio.sleep(TICK_PERIOD)
         self.links.close()
+        self.departure_log.cancel()
         self.periodic.cancel()
         self.recorder.log(
             "stopped", took_ms=int((self.clock() - stop_started_at) * 1000)
@@ -325,11 +339,14 @@
 
     # The local backend server.
 
-    def handle_heartbeat(self, report: ServerReport) -> None:
-        """Apply a heartbeat of the local backend server; log changes of its state."""
+    def handle_heartbeat(self, report: ServerReport) -> Awaitable[bool] | None:
+        """Apply a heartbeat of the local backend server; log changes of its state.
+
+        Returns whether the store has the leave that it states, unless it is known to.
+        """
         if report.address != self.settings.server_address:
             self.recorder.bad_input("heartbeat", f"address {report.address}")
-            return
+            return None
         now = self.clock()
         before = self.guard.state(now)
         age = read_time_of_day() - report.born / 1000.0
@@ -354,11 +371,34 @@
                 born=report.born,
                 is_history_known=self.guard.monitor.is_history_known,
             )
+        return self._await_record(report.start) if report.is_draining else None
 
-    def handle_deregistration(self, instance: str) -> None:
-        """Handle the deregistration of one start of the backend server."""
+    def handle_deregistration(self, instance: str) -> Awaitable[bool] | None:
+        """Handle the deregistration of one start of the backend server.
+
+        Returns whether the store has the leave, unless it is known to.
+        """
         is_known = self.guard.record_leave(instance, self.clock())
         self.recorder.log("backend_server_left", instance=instance, is_known=is_known)
+        report = self.guard.monitor.server.report
+        born = report.born if is_known and report is not None else 0
+        return self._await_record((instance, born))
+
+    def _record_departure(self, start: tuple[str, int]) -> DepartedStart:
+        """Have a leave of the local server written to the store."""
+        departed = DepartedStart(*start, int(read_time_of_day() * _MS_PER_S))
+        self.departure_log.record(departed)
+        return departed
+
+    def _await_record(self, start: tuple[str, int]) -> Awaitable[bool] | None:
+        departed = self._record_departure(start)
+        if self.departure_log.is_recorded(departed):
+            return None
+        return self.departure_log.wait_recorded(departed, ACKNOWLEDGEMENT_TIME)
+
+    def _record_departure_write(self, error: StoreError | None) -> None:
+        detail = "" if error is None else str(error)
+        self.fleet.record_store_reachability("departure", error is None, detail)
 
     def _on_guard_change(self) -> None:
         """Announce the state of the backend server.
@@ -368,6 +408,8 @@
         """
         state = self.guard.state(self.clock())
         self.local_target.apply_state(state)
+        if state.is_leaving and state.instance:
+            self._record_departure((state.instance, state.born))
         announced = (
             state.instance,
             state.service,
--- a/knapweedlead/sidecar/_wire.py
+++ b/knapweedlead/sidecar/_wire.py
@@ -12,6 +12,7 @@
     Announcement,
     Completion,
     DemandSum,
+    DepartedStart,
     EntryCall,
     Failure,
     FleetChange,
@@ -147,6 +148,7 @@
         state.position.era,
         state.configuration_position.era,
         sorted(state.known_names.difference(state.member_by_name)),
+        _departure_rows(state.departure_by_key),
     ]
 
 
@@ -175,9 +177,15 @@
         change.configuration_position.era,
         list(change.remembered),
         list(change.forgotten),
+        _departure_rows(change.departed),
+        list(change.dropped),
     ]
 
 
+def _departure_rows(by_key: dict[str, DepartedStart]) -> list[list[Any]]:
+    return [[key, *attrs.astuple(start)] for key, start in by_key.items()]
+
+
 def demand_frame(kind: FrameKind, sender: str, part: DemandSum) -> list[Any]:
     """Return the frame of a demand kind that carries a sum of demands."""
     return [
