--- a/knapweedlead/sidecar/_store_sync.py
+++ b/knapweedlead/sidecar/_store_sync.py
@@ -37,7 +37,7 @@
 ERA_CHECK_PERIOD = 0.5
 """Seconds between checks whether the store has come back from a copy, which may not
 hold the registration."""
-REWRITE_SPREAD = 1.0
+REWRITE_SPREAD = 0.5
 """Seconds over which the daemons of a fleet spread their registrations after that."""
 MAX_FORGOTTEN = 16
 """Daemons that one call removes from the roster; each takes two of the 32 entries that
