--- a/knapweedlead/sidecar/tests/test_store_sync.py
+++ b/knapweedlead/sidecar/tests/test_store_sync.py
@@ -118,6 +118,28 @@
     assert operations == [*failed_renewals, "renew", "grant", "register", "pause"]
 
 
+async def test_daemon_that_is_gone_is_removed_from_the_roster_unless_it_is_registered(
+    monkeypatch,
+):
+    # Guards against a share of the rates that is left to a machine for good, and
+    # against the removal of a daemon that has registered again meanwhile.
+    monkeypatch.setattr("knapweedlead.mesh._roster.ABSENCE_TIME", 0.3)
+    async with Fleet() as fleet:
+        for name in ("daemon-8", "daemon-9"):
+            fleet.store.write(f"roster/{name}", b"")
+        await fleet.wait_until(lambda: not known(fleet, "daemon-9"))
+        assert all(known(fleet, f"daemon-{index}") for index in range(4))
+        fleet.store.write("members/daemon-8", b"{}")
+        fleet.store.write("roster/daemon-8", b"")
+        await asyncio.sleep(1.5)
+        assert known(fleet, "daemon-8")
+
+
+def known(fleet, name):
+    """Return whether the store's roster has a daemon."""
+    return f"roster/{name}" in fleet.store.item_by_key
+
+
 @pytest.mark.parametrize("change", ["replaced", "removed"])
 async def test_entry_that_another_writer_changes_is_written_anew(change):
     # Guards against a live daemon that renews its lease and is no longer listed.
